--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -6,6 +6,7 @@
 mod check;
 mod dev;
 mod entry;
+mod platform;
 mod schema;
 mod status;
 
@@ -36,6 +37,7 @@
         .subcommand(audit::command())
         .subcommand(status::command())
         .subcommand(schema::command())
+        .subcommand(platform::command())
 }
 
 /// Runs the command that was asked for.
@@ -49,6 +51,7 @@
         Some(("audit", m)) => audit::run(m),
         Some(("status", m)) => status::run(m),
         Some(("schema", m)) => schema::run(m),
+        Some(("platform", m)) => platform::run(m),
         _ => unreachable!("clap requires a known command"),
     }
 }
--- /dev/null
+++ b/lib/daemon/src/dispatch.rs
@@ -0,0 +1,14 @@
+//! The processes of the dispatch plane: they give its state machines a clock, links, a store and
+//! a worker.
+//!
+//! Everything of a process runs on one thread. The state machine stands in a cell; whatever
+//! happens is handed to it, and what it wants done is done before the next thing is looked at.
+
+pub mod channel;
+pub mod executor_host;
+pub mod follow;
+pub mod http;
+pub mod log_sink;
+pub mod metrics_page;
+pub mod scheduler_host;
+pub mod store;
--- /dev/null
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -0,0 +1,187 @@
+//! Links of the dispatch plane: TCP connections that carry length-delimited protobuf frames.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::SinkExt;
+use futures::StreamExt;
+use prost::Message;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// How long connecting and the exchange of greetings may take.
+pub const GREETING: Duration = Duration::from_millis(400);
+/// The largest frame, in bytes.
+pub const MAX_FRAME: usize = 16 << 20;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
+
+/// Why a link could not be set up.
+#[derive(Debug, Error)]
+pub enum ChannelError {
+    /// The connection failed.
+    #[error("the connection failed")]
+    Io(#[from] std::io::Error),
+    /// The other end did not greet in time.
+    #[error("the other end did not greet in time")]
+    Silent,
+    /// The other end did not begin with a greeting.
+    #[error("the other end did not begin with a greeting")]
+    NoGreeting,
+}
+
+/// The sending half of a link.
+#[derive(Clone, Debug)]
+pub struct ChannelSender {
+    queue: mpsc::UnboundedSender<Body>,
+}
+
+impl ChannelSender {
+    /// Queues a message. It is dropped if the link is down; the state machines hear of that.
+    pub fn send(&self, body: Body) {
+        let _ = self.queue.send(body);
+    }
+}
+
+/// Who hears what happens on a link.
+pub trait Listener: 'static {
+    /// The greeting to send.
+    fn greeting(&self) -> proto::Greeting;
+    /// Whether a link to this process is wanted.
+    fn wants(&self, theirs: &proto::Greeting) -> bool;
+    /// A link is up.
+    fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender);
+    /// A message came in.
+    fn message(&self, link: LinkId, body: Body);
+    /// A link is down.
+    fn down(&self, link: LinkId);
+}
+
+type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Wire {
+    let _ = stream.set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+fn encode(body: Body) -> Bytes {
+    let frame = proto::Frame { body: Some(body) };
+    Bytes::from(frame.encode_to_vec())
+}
+
+/// Binds a listener that many can connect to at once.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn greet(wire: &mut Wire, own: proto::Greeting) -> Result<proto::Greeting, ChannelError> {
+    wire.send(encode(Body::Greeting(own))).await?;
+    let Some(frame) = wire.next().await else {
+        return Err(ChannelError::Silent);
+    };
+    match proto::Frame::decode(frame?).ok().and_then(|f| f.body) {
+        Some(Body::Greeting(theirs)) => Ok(theirs),
+        _ => Err(ChannelError::NoGreeting),
+    }
+}
+
+/// Connects to another process and runs the link until it is down.
+///
+/// # Errors
+///
+/// When the link could not be set up.
+pub async fn dial(address: SocketAddr, listener: &impl Listener) -> Result<(), ChannelError> {
+    let connect = async {
+        let mut wire = framed(TcpStream::connect(address).await?);
+        let theirs = greet(&mut wire, listener.greeting()).await?;
+        Ok::<_, ChannelError>((wire, theirs))
+    };
+    let timed = tokio::time::timeout(GREETING, connect).await;
+    let (wire, theirs) = timed.map_err(|_| ChannelError::Silent)??;
+    run(wire, theirs, listener).await;
+    Ok(())
+}
+
+/// Runs a link that another process has opened, until it is down.
+///
+/// # Errors
+///
+/// When the link could not be set up.
+pub async fn serve(stream: TcpStream, listener: &impl Listener) -> Result<(), ChannelError> {
+    let mut wire = framed(stream);
+    let greeting = greet(&mut wire, listener.greeting());
+    let timed = tokio::time::timeout(GREETING, greeting).await;
+    let theirs = timed.map_err(|_| ChannelError::Silent)??;
+    run(wire, theirs, listener).await;
+    Ok(())
+}
+
+async fn run(wire: Wire, theirs: proto::Greeting, listener: &impl Listener) {
+    if !listener.wants(&theirs) {
+        return;
+    }
+    let link = LinkId(NEXT_LINK.fetch_add(1, Ordering::Relaxed));
+    let (sink, mut stream) = wire.split();
+    let (queue, receiver) = mpsc::unbounded_channel();
+    let mut writer = actix_rt::spawn(write(sink, receiver));
+    listener.up(link, &theirs, ChannelSender { queue });
+    loop {
+        let next = tokio::select! {
+            next = stream.next() => next,
+            _ = &mut writer => break,
+        };
+        let Some(Ok(bytes)) = next else {
+            break;
+        };
+        let Ok(frame) = proto::Frame::decode(bytes) else {
+            break;
+        };
+        if let Some(body) = frame.body {
+            listener.message(link, body);
+        }
+    }
+    writer.abort();
+    listener.down(link);
+}
+
+type WireSink = futures::stream::SplitSink<Wire, Bytes>;
+
+/// Writes what is queued, flushing when the queue is empty. Ends when the sender is dropped.
+async fn write(mut sink: WireSink, mut queue: mpsc::UnboundedReceiver<Body>) {
+    while let Some(first) = queue.recv().await {
+        if sink.feed(encode(first)).await.is_err() {
+            return;
+        }
+        while let Ok(more) = queue.try_recv() {
+            if sink.feed(encode(more)).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -0,0 +1,219 @@
+//! An executor under the real runtime.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use stackcourse_lib::dispatch::executor::Action;
+use stackcourse_lib::dispatch::executor::Executor;
+use stackcourse_lib::dispatch::executor::ExecutorSetup;
+use stackcourse_lib::dispatch::executor::HoldCall;
+use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::OrderReply;
+use stackcourse_lib::dispatch::executor::RunName;
+use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::event::Event;
+use stackcourse_lib::event::Kind;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::prelude::Mono;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+use crate::dispatch::channel;
+use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::Listener;
+use crate::dispatch::log_sink::LogSink;
+use crate::dispatch::scheduler_host::REDIAL;
+use crate::dispatch::scheduler_host::jitter;
+
+/// Time passes for the executor in steps of this.
+const TICK: Duration = Duration::from_millis(25);
+
+/// A worker, as an executor speaks to it.
+pub trait Worker: 'static {
+    /// Starts a run.
+    fn start(&self, call: StartCall) -> impl Future<Output = OrderReply>;
+    /// Stops a run.
+    fn stop(&self, life: String, run: RunName, fence: u64) -> impl Future<Output = OrderReply>;
+    /// Keeps the runs alive and lists them.
+    fn hold(&self, call: HoldCall) -> impl Future<Output = HoldReply>;
+}
+
+/// An executor, its links and its worker.
+pub struct ExecutorHost<W> {
+    inner: Rc<Inner<W>>,
+}
+
+impl<W> Clone for ExecutorHost<W> {
+    fn clone(&self) -> ExecutorHost<W> {
+        ExecutorHost {
+            inner: self.inner.clone(),
+        }
+    }
+}
+
+struct Inner<W> {
+    executor: RefCell<Executor>,
+    worker: W,
+    start: Instant,
+    links: RefCell<HashMap<LinkId, ChannelSender>>,
+    dialling: RefCell<HashSet<SocketAddr>>,
+    log: RefCell<LogSink>,
+}
+
+impl<W: Worker> ExecutorHost<W> {
+    /// Starts an executor.
+    pub fn start(setup: ExecutorSetup, worker: W, log: LogSink) -> ExecutorHost<W> {
+        let inner = Inner {
+            executor: RefCell::new(Executor::new(setup)),
+            worker,
+            start: Instant::now(),
+            links: RefCell::default(),
+            dialling: RefCell::default(),
+            log: RefCell::new(log),
+        };
+        let host = ExecutorHost {
+            inner: Rc::new(inner),
+        };
+        let ticking = host.clone();
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(TICK).await;
+                ticking.with(|e, now| e.tick(now));
+            }
+        });
+        host
+    }
+
+    /// This process's clock.
+    pub fn now(&self) -> Mono {
+        Mono(self.inner.start.elapsed().as_micros() as u64 + 1)
+    }
+
+    /// Gives the executor something to do, and does what it wants done.
+    pub fn with<R>(&self, work: impl FnOnce(&mut Executor, Mono) -> R) -> R {
+        let now = self.now();
+        let (result, actions) = {
+            let mut executor = self.inner.executor.borrow_mut();
+            let result = work(&mut executor, now);
+            (result, executor.take_actions())
+        };
+        for action in actions {
+            self.perform(now, action);
+        }
+        result
+    }
+
+    /// Reads something of the executor.
+    pub fn read<R>(&self, read: impl FnOnce(&Executor) -> R) -> R {
+        read(&self.inner.executor.borrow())
+    }
+
+    /// Writes a log line.
+    pub fn log(&self, kind: Kind, detail: impl Into<String>) {
+        let event = Event::new(kind, detail);
+        self.inner.log.borrow_mut().log(self.now(), &event);
+    }
+
+    /// Log lines that were left out because their reader was too slow.
+    pub fn log_dropped(&self) -> u64 {
+        self.inner.log.borrow().dropped()
+    }
+
+    /// Keeps a link to the scheduler at this address.
+    pub fn dial(&self, address: SocketAddr) {
+        if !self.inner.dialling.borrow_mut().insert(address) {
+            return;
+        }
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            let mut wait = REDIAL.0;
+            loop {
+                if channel::dial(address, &host).await.is_ok() {
+                    wait = REDIAL.0;
+                }
+                actix_rt::time::sleep(jitter(wait)).await;
+                wait = (wait * 2).min(REDIAL.1);
+            }
+        });
+    }
+
+    fn perform(&self, now: Mono, action: Action) {
+        match action {
+            Action::Send(link, body) => {
+                if let Some(sender) = self.inner.links.borrow().get(&link) {
+                    sender.send(body);
+                }
+            }
+            Action::Close(link) => {
+                self.inner.links.borrow_mut().remove(&link);
+            }
+            Action::Start(call) => self.call_start(call),
+            Action::Stop(life, run, fence) => self.call_stop(life, run, fence),
+            Action::Hold(call) => self.call_hold(call),
+            Action::Dial(members) => {
+                for member in members {
+                    if let Ok(address) = member.address.parse() {
+                        self.dial(address);
+                    }
+                }
+            }
+            Action::Log(event) => self.inner.log.borrow_mut().log(now, &event),
+        }
+    }
+
+    fn call_start(&self, call: StartCall) {
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            let run = call.run;
+            let reply = host.inner.worker.start(call).await;
+            host.with(|e, now| e.started(now, run, reply));
+        });
+    }
+
+    fn call_stop(&self, life: String, run: RunName, fence: u64) {
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            let reply = host.inner.worker.stop(life, run, fence).await;
+            host.with(|e, now| e.stopped(now, run, reply));
+        });
+    }
+
+    fn call_hold(&self, call: HoldCall) {
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            let reply = host.inner.worker.hold(call).await;
+            host.with(|e, now| e.held(now, reply));
+        });
+    }
+}
+
+impl<W: Worker> Listener for ExecutorHost<W> {
+    fn greeting(&self) -> proto::Greeting {
+        self.read(Executor::greeting)
+    }
+
+    fn wants(&self, theirs: &proto::Greeting) -> bool {
+        !theirs.executor
+    }
+
+    fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
+        self.inner.links.borrow_mut().insert(link, sender);
+        self.with(|e, now| e.link_up(now, link, theirs));
+    }
+
+    fn message(&self, link: LinkId, body: Body) {
+        if let Body::Orders(orders) = body {
+            self.with(|e, now| e.orders(now, link, orders));
+        }
+    }
+
+    fn down(&self, link: LinkId) {
+        self.inner.links.borrow_mut().remove(&link);
+        self.with(|e, _| e.link_down(link));
+    }
+}
--- /dev/null
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -0,0 +1,159 @@
+//! Following the store: the operator's configuration, and which schedulers there are.
+//!
+//! Both go on from what they have while the store is away. A key that has vanished condemns
+//! nobody: members are only ever added, and found dead by contact.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use stackcourse_lib::event::Kind;
+
+use crate::dispatch::scheduler_host::jitter;
+use crate::dispatch::store::Change;
+use crate::dispatch::store::Item;
+use crate::dispatch::store::KeyStore;
+use crate::dispatch::store::Lease;
+use crate::dispatch::store::StoreError;
+
+/// Waits between tries while the store does not answer, shortest and longest.
+const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+/// The lease of a member, and how often it is renewed.
+const MEMBER_LEASE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(3));
+/// Every so many renewals a member makes sure that its key stands.
+const LOOK_EVERY: u32 = 3;
+
+/// What the follower tells, and where it writes its log lines.
+pub trait Follower: 'static {
+    /// A watched key has this value.
+    fn value(&self, item: &Item);
+    /// Writes a log line.
+    fn log(&self, kind: Kind, detail: String);
+}
+
+/// Follows all keys that begin with a prefix, for as long as the process lives. `wait` is how
+/// long one watch waits.
+pub async fn follow<S: KeyStore, F: Follower>(
+    store: Rc<S>,
+    prefix: &'static str,
+    wait: Duration,
+    follower: F,
+) {
+    let away = Cell::new(false);
+    let mut pause = RETRY.0;
+    loop {
+        let read = store.list(prefix).await;
+        match read {
+            Ok((items, at)) => {
+                note_back(&follower, &away, prefix);
+                pause = RETRY.0;
+                items.iter().for_each(|item| follower.value(item));
+                let error = watch(&*store, prefix, at, wait, &follower).await;
+                note_away(&follower, &away, prefix, &error);
+            }
+            Err(error) => note_away(&follower, &away, prefix, &error),
+        }
+        actix_rt::time::sleep(jitter(pause)).await;
+        pause = (pause * 2).min(RETRY.1);
+    }
+}
+
+/// Watches from a revision on until that fails.
+async fn watch<S: KeyStore, F: Follower>(
+    store: &S,
+    prefix: &str,
+    from: u64,
+    wait: Duration,
+    follower: &F,
+) -> StoreError {
+    let mut after = from;
+    loop {
+        match store.watch(prefix, after, wait).await {
+            Ok((changes, at)) => {
+                after = after.max(at);
+                for change in changes {
+                    if let Change::Put(item) = change {
+                        follower.value(&item);
+                    }
+                }
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+fn note_away<F: Follower>(follower: &F, away: &Cell<bool>, prefix: &str, error: &StoreError) {
+    if !away.replace(true) {
+        follower.log(Kind::StoreAway, format!("watching {prefix}: {error}"));
+    }
+}
+
+fn note_back<F: Follower>(follower: &F, away: &Cell<bool>, prefix: &str) {
+    if away.replace(false) {
+        follower.log(Kind::StoreBack, format!("watching {prefix}"));
+    }
+}
+
+/// Keeps a key that says where this scheduler is reached, under a lease, until `leaving` is set.
+pub async fn stand_as_member<S: KeyStore>(
+    store: Rc<S>,
+    key: String,
+    address: SocketAddr,
+    leaving: Rc<Cell<bool>>,
+) {
+    let value = Bytes::from(address.to_string());
+    let mut lease: Option<Lease> = None;
+    let mut rounds = 0u32;
+    let mut pause = RETRY.0;
+    while !leaving.get() {
+        let kept = match lease {
+            Some(held) => keep(&*store, held, &key, &value, rounds).await,
+            None => enter(&*store, &key, &value).await,
+        };
+        rounds = rounds.wrapping_add(1);
+        match kept {
+            Ok(held) => {
+                lease = Some(held);
+                pause = RETRY.0;
+                actix_rt::time::sleep(jitter(MEMBER_LEASE.1)).await;
+            }
+            Err(error) => {
+                if error == StoreError::NoLease {
+                    lease = None;
+                }
+                actix_rt::time::sleep(jitter(pause)).await;
+                pause = (pause * 2).min(RETRY.1);
+            }
+        }
+    }
+    if let Some(held) = lease {
+        let _ = store.end(held).await;
+    }
+}
+
+async fn enter<S: KeyStore>(store: &S, key: &str, value: &Bytes) -> Result<Lease, StoreError> {
+    let lease = store.grant(MEMBER_LEASE.0).await?;
+    store.put(key, value.clone(), Some(lease)).await?;
+    Ok(lease)
+}
+
+/// Renews the lease; now and then makes sure that the key is there, since keys can be taken away
+/// while their lease lives.
+async fn keep<S: KeyStore>(
+    store: &S,
+    lease: Lease,
+    key: &str,
+    value: &Bytes,
+    rounds: u32,
+) -> Result<Lease, StoreError> {
+    store.renew(lease).await?;
+    if rounds.is_multiple_of(LOOK_EVERY) {
+        let (item, _) = store.get(key).await?;
+        if item.is_none() {
+            store.put(key, value.clone(), Some(lease)).await?;
+        }
+    }
+    Ok(lease)
+}
--- /dev/null
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -0,0 +1,119 @@
+//! Metrics of the dispatch plane in Prometheus' text format, made when asked for.
+
+use prometheus::Encoder;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use stackcourse_lib::dispatch::executor::Executor;
+use stackcourse_lib::dispatch::scheduler::Scheduler;
+
+struct Page {
+    registry: Registry,
+}
+
+impl Page {
+    fn counters<'a>(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: impl Iterator<Item = (&'a str, u64)>,
+    ) {
+        let opts = Opts::new(format!("stackcourse_{name}"), help);
+        let counter = IntCounterVec::new(opts, &[label]).expect("a constant name");
+        for (value, n) in values {
+            counter.with_label_values(&[value]).inc_by(n);
+        }
+        let registered = self.registry.register(Box::new(counter));
+        registered.expect("each name is used once");
+    }
+
+    fn gauges(&self, name: &str, help: &str, values: &[(&str, i64)]) {
+        let opts = Opts::new(format!("stackcourse_{name}"), help);
+        let gauge = IntGaugeVec::new(opts, &["of"]).expect("a constant name");
+        for (value, n) in values {
+            gauge.with_label_values(&[*value]).set(*n);
+        }
+        let registered = self.registry.register(Box::new(gauge));
+        registered.expect("each name is used once");
+    }
+
+    fn text(&self) -> String {
+        let mut out = Vec::new();
+        let written = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        written.expect("writing to memory");
+        String::from_utf8(out).expect("the text format is UTF-8")
+    }
+}
+
+/// The metrics of a scheduler. `dropped` counts log lines that were left out.
+pub fn of_scheduler(scheduler: &Scheduler, dropped: u64) -> String {
+    let page = Page {
+        registry: Registry::new(),
+    };
+    let counts = scheduler.counts();
+    let words = |map: &std::collections::BTreeMap<&'static str, u64>| -> Vec<(&str, u64)> {
+        map.iter().map(|(k, v)| (*k, *v)).collect()
+    };
+    let outcomes = words(&counts.outcomes).into_iter();
+    page.counters("jobs_total", "Jobs ended.", "outcome", outcomes);
+    let causes = words(&counts.causes).into_iter();
+    let help = "Jobs refused or failed, by cause.";
+    page.counters("causes_total", help, "cause", causes);
+    let again = words(&counts.again).into_iter();
+    let help = "Tasks placed again, by why the earlier try ended.";
+    page.counters("tasks_again_total", help, "cause", again);
+    let decisions = [
+        ("submitted", counts.submitted),
+        ("joined", counts.joined),
+        ("claimed", counts.claims),
+        ("placed", counts.placed),
+        ("log_lines_dropped", dropped),
+    ];
+    let help = "Decisions made.";
+    page.counters("decisions_total", help, "kind", decisions.into_iter());
+    let [jobs, waiting, executors, peers] = scheduler.load().map(|n| n as i64);
+    let held = [
+        ("jobs", jobs),
+        ("jobs_waiting", waiting),
+        ("executors_linked", executors),
+        ("schedulers_linked", peers),
+        ("config_version", scheduler.version() as i64),
+        ("ready", i64::from(scheduler.is_ready())),
+    ];
+    page.gauges("state", "What the scheduler holds now.", &held);
+    page.text()
+}
+
+/// The metrics of an executor. `dropped` counts log lines that were left out.
+pub fn of_executor(executor: &Executor, dropped: u64) -> String {
+    let page = Page {
+        registry: Registry::new(),
+    };
+    let counts = executor.counts();
+    let runs = [
+        ("started", counts.starts),
+        ("unanswered", counts.unanswered),
+        ("stops", counts.stops),
+        ("done", counts.done),
+        ("failed", counts.failed),
+        ("lost", counts.lost),
+        ("stalled", counts.stalled),
+        ("returned", counts.returned),
+        ("leases_over", counts.lapsed),
+        ("strangers", counts.strangers),
+        ("log_lines_dropped", dropped),
+    ];
+    let help = "What the executor did.";
+    page.counters("executor_total", help, "kind", runs.into_iter());
+    let (running, waiting) = executor.load();
+    let held = [
+        ("tasks_running", running as i64),
+        ("tasks_waiting", waiting as i64),
+        ("schedulers_linked", executor.linked() as i64),
+    ];
+    page.gauges("executor_state", "What the executor holds now.", &held);
+    page.text()
+}
--- /dev/null
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -0,0 +1,266 @@
+//! A scheduler under the real runtime.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::model::JobRequest;
+use stackcourse_lib::dispatch::scheduler::Action;
+use stackcourse_lib::dispatch::scheduler::CallerId;
+use stackcourse_lib::dispatch::scheduler::Scheduler;
+use stackcourse_lib::dispatch::scheduler::SchedulerSetup;
+use stackcourse_lib::event::Event;
+use stackcourse_lib::event::Kind;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::prelude::Mono;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+use tokio::sync::oneshot;
+
+use crate::dispatch::channel;
+use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::Listener;
+use crate::dispatch::log_sink::LogSink;
+
+/// Time passes for the scheduler in steps of this.
+const TICK: Duration = Duration::from_millis(20);
+/// Waits between tries to reach a process, shortest and longest.
+pub(crate) const REDIAL: (Duration, Duration) = (Duration::from_millis(60), Duration::from_secs(1));
+
+/// How long the other scheduler has to connect first.
+const YIELD: Duration = Duration::from_millis(300);
+
+/// A scheduler, its links and its callers. Cheap to clone.
+#[derive(Clone)]
+pub struct SchedulerHost {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    scheduler: RefCell<Scheduler>,
+    start: Instant,
+    own: SocketAddr,
+    links: RefCell<HashMap<LinkId, ChannelSender>>,
+    callers: RefCell<HashMap<CallerId, oneshot::Sender<JobOutcome>>>,
+    next_caller: Cell<u64>,
+    dialling: RefCell<HashSet<SocketAddr>>,
+    log: RefCell<LogSink>,
+}
+
+/// The end of a job, as its caller waits for it. Dropping it tells the scheduler that the caller
+/// has left.
+pub struct Waiter {
+    host: SchedulerHost,
+    caller: CallerId,
+    number: JobNumber,
+    receiver: oneshot::Receiver<JobOutcome>,
+    done: bool,
+}
+
+impl Waiter {
+    /// Waits for the end.
+    pub async fn outcome(mut self) -> JobOutcome {
+        let outcome = (&mut self.receiver).await;
+        self.done = true;
+        outcome.unwrap_or(JobOutcome::Unknown)
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        if !self.done {
+            let (caller, number) = (self.caller, self.number);
+            self.host.inner.callers.borrow_mut().remove(&caller);
+            self.host.with(|s, now| s.caller_left(now, caller, number));
+        }
+    }
+}
+
+impl SchedulerHost {
+    /// Starts a scheduler that is reached by others at `own`.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub fn start(
+        setup: SchedulerSetup,
+        own: SocketAddr,
+        log: LogSink,
+    ) -> std::io::Result<SchedulerHost> {
+        let listener = channel::listen(own)?;
+        let inner = Inner {
+            scheduler: RefCell::new(Scheduler::new(setup)),
+            start: Instant::now(),
+            own,
+            links: RefCell::default(),
+            callers: RefCell::default(),
+            next_caller: Cell::new(1),
+            dialling: RefCell::default(),
+            log: RefCell::new(log),
+        };
+        let host = SchedulerHost {
+            inner: Rc::new(inner),
+        };
+        let accepting = host.clone();
+        actix_rt::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    let host = accepting.clone();
+                    actix_rt::spawn(async move {
+                        let _ = channel::serve(stream, &host).await;
+                    });
+                }
+            }
+        });
+        let ticking = host.clone();
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(TICK).await;
+                ticking.with(|s, now| s.tick(now));
+            }
+        });
+        Ok(host)
+    }
+
+    /// This process's clock.
+    pub fn now(&self) -> Mono {
+        Mono(self.inner.start.elapsed().as_micros() as u64 + 1)
+    }
+
+    /// Gives the scheduler something to do, and does what it wants done.
+    pub fn with<R>(&self, work: impl FnOnce(&mut Scheduler, Mono) -> R) -> R {
+        let now = self.now();
+        let (result, actions) = {
+            let mut scheduler = self.inner.scheduler.borrow_mut();
+            let result = work(&mut scheduler, now);
+            (result, scheduler.take_actions())
+        };
+        for action in actions {
+            self.perform(now, action);
+        }
+        result
+    }
+
+    /// Reads something of the scheduler.
+    pub fn read<R>(&self, read: impl FnOnce(&Scheduler) -> R) -> R {
+        read(&self.inner.scheduler.borrow())
+    }
+
+    /// Hands in a job.
+    pub fn submit(&self, request: JobRequest) -> Waiter {
+        let caller = CallerId(self.inner.next_caller.get());
+        self.inner.next_caller.set(caller.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.inner.callers.borrow_mut().insert(caller, sender);
+        let number = request.number;
+        self.with(|s, now| s.submit(now, caller, request));
+        Waiter {
+            host: self.clone(),
+            caller,
+            number,
+            receiver,
+            done: false,
+        }
+    }
+
+    /// Writes a log line.
+    pub fn log(&self, kind: Kind, detail: impl Into<String>) {
+        let event = Event::new(kind, detail);
+        self.inner.log.borrow_mut().log(self.now(), &event);
+    }
+
+    /// Log lines that were left out because their reader was too slow.
+    pub fn log_dropped(&self) -> u64 {
+        self.inner.log.borrow().dropped()
+    }
+
+    /// Keeps a link to the scheduler at this address.
+    pub fn dial(&self, address: SocketAddr) {
+        if address == self.inner.own || !self.inner.dialling.borrow_mut().insert(address) {
+            return;
+        }
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            let mut wait = REDIAL.0;
+            // Of two schedulers that know each other, one is given the time to connect first.
+            if address < host.inner.own {
+                actix_rt::time::sleep(YIELD).await;
+            }
+            loop {
+                let known = address.to_string();
+                if host.read(|s| s.is_linked_to(&known)) {
+                    actix_rt::time::sleep(REDIAL.1).await;
+                    continue;
+                }
+                if channel::dial(address, &host).await.is_ok() {
+                    wait = REDIAL.0;
+                }
+                actix_rt::time::sleep(jitter(wait)).await;
+                wait = (wait * 2).min(REDIAL.1);
+            }
+        });
+    }
+
+    fn perform(&self, now: Mono, action: Action) {
+        match action {
+            Action::Send(link, body) => {
+                if let Some(sender) = self.inner.links.borrow().get(&link) {
+                    sender.send(body);
+                }
+            }
+            Action::Close(link) => {
+                self.inner.links.borrow_mut().remove(&link);
+            }
+            Action::Answer(caller, outcome) => {
+                if let Some(sender) = self.inner.callers.borrow_mut().remove(&caller) {
+                    let _ = sender.send(outcome);
+                }
+            }
+            Action::Dial(members) => {
+                for member in members {
+                    if let Ok(address) = member.address.parse() {
+                        self.dial(address);
+                    }
+                }
+            }
+            Action::Log(event) => self.inner.log.borrow_mut().log(now, &event),
+        }
+    }
+}
+
+/// A wait somewhere between half of `span` and all of it.
+pub(crate) fn jitter(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+impl Listener for SchedulerHost {
+    fn greeting(&self) -> proto::Greeting {
+        self.read(Scheduler::greeting)
+    }
+
+    fn wants(&self, theirs: &proto::Greeting) -> bool {
+        theirs.executor || theirs.address != self.inner.own.to_string()
+    }
+
+    fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
+        self.inner.links.borrow_mut().insert(link, sender);
+        self.with(|s, now| s.link_up(now, link, theirs));
+    }
+
+    fn message(&self, link: LinkId, body: Body) {
+        self.with(|s, now| s.message(now, link, body));
+    }
+
+    fn down(&self, link: LinkId) {
+        self.inner.links.borrow_mut().remove(&link);
+        self.with(|s, now| s.link_down(now, link));
+    }
+}
--- a/lib/daemon/src/lib.rs
+++ b/lib/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config_watch;
 pub mod consul;
 pub mod dev;
+pub mod dispatch;
 pub mod entry_actor;
 pub mod entry_process;
 pub mod kernel;
--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -1,4 +1,4 @@
-//! Generates `lib/src/protos/stackcourse.wire.rs` from `wire.proto`.
+//! Generates the files `lib/src/protos/*.rs` from the schemas beside them.
 //!
 //! The output is committed, so an ordinary build does not run this program. It needs no
 //! `protoc`: the schema is compiled by a library.
@@ -7,6 +7,9 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+/// The schemas, of one package each.
+const SCHEMAS: [&str; 2] = ["wire.proto", "dispatch.proto"];
+
 fn main() -> Result<(), Box<dyn Error>> {
     generate(&protos())
 }
@@ -18,7 +21,8 @@
 
 fn generate(out: &Path) -> Result<(), Box<dyn Error>> {
     let root = protos();
-    let files = protox::compile([root.join("wire.proto")], [&root])?;
+    let schemas = SCHEMAS.map(|name| root.join(name));
+    let files = protox::compile(schemas, [&root])?;
     prost_build::Config::new()
         .out_dir(out)
         .bytes(["."])
@@ -30,7 +34,7 @@
 mod tests {
     use super::*;
 
-    const OUTPUT: &str = "stackcourse.wire.rs";
+    const OUTPUTS: [&str; 2] = ["stackcourse.wire.rs", "stackcourse.dispatch.rs"];
 
     #[test]
     fn test_committed_output_is_that_of_the_schema() {
@@ -38,9 +42,11 @@
         let out = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&out).expect("a directory");
         generate(&out).expect("the schema compiles");
-        let made = std::fs::read_to_string(out.join(OUTPUT)).expect("output");
-        let committed = std::fs::read_to_string(protos().join(OUTPUT)).expect("output");
+        for name in OUTPUTS {
+            let made = std::fs::read_to_string(out.join(name)).expect("output");
+            let committed = std::fs::read_to_string(protos().join(name)).expect("output");
+            assert_eq!(made, committed, "run `cargo run -p stackcourse-gen-protos`");
+        }
         let _ = std::fs::remove_dir_all(&out);
-        assert_eq!(made, committed, "run `cargo run -p stackcourse-gen-protos`");
     }
 }
--- /dev/null
+++ b/lib/src/dispatch/executor.rs
@@ -0,0 +1,483 @@
+//! The executor's state machine: alone in giving orders to one worker.
+//!
+//! It knows the worker's room exactly: room is taken when a start is sent and given back only
+//! when the worker has listed the end of the run, or when a confirmed stop makes sure that there
+//! is none. Schedulers hold leases here, measured on the executor's own clock from readings that
+//! they echo; what runs for a scheduler whose lease is over is stopped.
+
+mod health;
+mod runs;
+mod sessions;
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use crate::dispatch::executor::health::Health;
+use crate::dispatch::executor::runs::Claim;
+use crate::dispatch::executor::runs::Run;
+use crate::dispatch::executor::runs::Waiting;
+use crate::dispatch::executor::sessions::Session;
+use crate::dispatch::model::Demand;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::TaskName;
+use crate::event::Event;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+pub use crate::dispatch::executor::runs::RunState;
+
+/// The executor's settings that concern decisions.
+#[derive(Clone, Debug)]
+pub struct ExecutorSetup {
+    /// Its name, unique among executors.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Drawn when the process starts.
+    pub incarnation: u64,
+    /// A fencing token above those of earlier lives.
+    pub fence: u64,
+    /// How long a scheduler's lease lasts from the reading it echoes.
+    pub lease: Duration,
+    /// How long the worker keeps runs alive after the last renewal.
+    pub worker_hold: Duration,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerBeat {
+    /// The id of its present life.
+    pub life: String,
+    /// The service it works for.
+    pub service: String,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// What it has.
+    pub capacity: Demand,
+    /// Its kind, its rack.
+    pub labels: Vec<String>,
+    /// Rises with each beat, so that a late one is known.
+    pub sequence: u64,
+}
+
+/// One run of a task at the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunName {
+    /// The task.
+    pub task: TaskName,
+    /// The run, from 1.
+    pub run: u32,
+}
+
+/// A start to be sent to the worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartCall {
+    /// The life of the worker it is meant for.
+    pub life: String,
+    /// The run.
+    pub run: RunName,
+    /// What to run.
+    pub spec: Rc<str>,
+    /// The time on the worker's clock after which it must not begin, in milliseconds; 0 if the
+    /// clock is not known.
+    pub deadline_ms: u64,
+    /// The fencing token.
+    pub fence: u64,
+    /// Where an earlier run left off.
+    pub checkpoint: String,
+}
+
+/// A request to keep the runs alive and to list them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldCall {
+    /// The life of the worker it is meant for; empty if not known.
+    pub life: String,
+    /// Runs are kept alive until this time on the worker's clock, in milliseconds; 0 to list only.
+    pub deadline_ms: u64,
+    /// The fencing token.
+    pub fence: u64,
+    /// Ends up to this number have been taken note of.
+    pub seen: u64,
+    /// How long the worker may wait for an end before it answers.
+    pub wait: Duration,
+}
+
+/// Why a worker refused a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    /// Its fencing token is too low.
+    Fence,
+    /// Its run number is not above one that ended or was stopped.
+    Old,
+    /// Its deadline has passed.
+    Late,
+    /// It does not fit.
+    Room,
+    /// The worker can't run it at all.
+    Invalid,
+    /// The worker is unwell and did nothing.
+    Unwell,
+}
+
+/// The answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It was done; the worker's clock, in milliseconds.
+    Done(u64),
+    /// It was refused and will never be done.
+    Refused(StartRefusal),
+    /// Another life of the worker answered.
+    WrongLife,
+    /// There was no answer: it may have been done, or may be done later.
+    NoAnswer,
+    /// There is no worker to take it.
+    Unreachable,
+}
+
+/// A run that the worker lists as running.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningRow {
+    /// The run.
+    pub run: RunName,
+    /// How far it is.
+    pub percent: u32,
+}
+
+/// An end that the worker lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FinishedRow {
+    /// Its number, rising within a life.
+    pub number: u64,
+    /// The run.
+    pub run: RunName,
+    /// How it ended.
+    pub end: WorkerEnd,
+    /// Its checkpoint, if it left one.
+    pub checkpoint: String,
+}
+
+/// How a run ended, as the worker says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerEnd {
+    /// Whole.
+    Done,
+    /// By a fault of its own or the worker's.
+    Failed,
+    /// By a stop.
+    Stopped,
+    /// Because its lease ran out, or otherwise not by itself.
+    Lapsed,
+}
+
+/// The answer to a hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldReply {
+    /// The worker's lists.
+    Lists {
+        /// Its clock, in milliseconds.
+        clock_ms: u64,
+        /// What runs.
+        running: Vec<RunningRow>,
+        /// What ended and was not yet taken note of.
+        finished: Vec<FinishedRow>,
+    },
+    /// The fencing token is too low.
+    Fenced,
+    /// Another life of the worker answered.
+    WrongLife,
+    /// There was no answer.
+    NoAnswer,
+    /// There is no worker.
+    Unreachable,
+}
+
+/// What the executor wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message on a link.
+    Send(LinkId, proto::frame::Body),
+    /// Close a link.
+    Close(LinkId),
+    /// Send a start to the worker and hand in the reply.
+    Start(StartCall),
+    /// Send a stop to the worker and hand in the reply.
+    Stop(String, RunName, u64),
+    /// Send a hold to the worker and hand in the reply.
+    Hold(HoldCall),
+    /// Connect to schedulers that are not linked yet.
+    Dial(Vec<proto::Member>),
+    /// Write a log line.
+    Log(Event),
+}
+
+/// Counters, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExecutorCounts {
+    /// Starts sent to the worker.
+    pub starts: u64,
+    /// Starts that got no answer.
+    pub unanswered: u64,
+    /// Stops sent to the worker.
+    pub stops: u64,
+    /// Runs that ended whole.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that lapsed or were lost.
+    pub lost: u64,
+    /// Runs that stood still.
+    pub stalled: u64,
+    /// Tasks handed back without having run.
+    pub returned: u64,
+    /// Leases of schedulers that ran out.
+    pub lapsed: u64,
+    /// Runs found at the worker that nobody here had started.
+    pub strangers: u64,
+}
+
+/// A hold waits this long at the worker, and so long the progress of runs goes unread.
+const HOLD_WAIT: Duration = Duration::from_millis(120);
+/// Updates to one scheduler are at least this far apart, unless they tell of ends.
+const REPORT_GAP: Duration = Duration::from_millis(15);
+/// Each scheduler hears from the executor at least this often.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Calls of a job in another scheduler's favour are remembered for this long.
+const CLAIM_MEMORY: Duration = Duration::from_secs(20);
+
+/// The worker, in its present life.
+#[derive(Debug, Default)]
+struct Worker {
+    beat: WorkerBeat,
+    /// Whether its lists have been read in this life, and nothing of an earlier executor runs.
+    clean: bool,
+    /// Whether it answered the last hold.
+    answers: bool,
+    /// When it first failed to answer, since it last did.
+    silent_since: Option<Mono>,
+    clock: Option<(u64, Mono)>,
+    seen: u64,
+}
+
+/// The executor.
+pub struct Executor {
+    setup: ExecutorSetup,
+    worker: Option<Worker>,
+    runs: HashMap<TaskName, Run>,
+    used: Demand,
+    queue: VecDeque<Waiting>,
+    sessions: HashMap<String, Session>,
+    claims: HashMap<JobNumber, Claim>,
+    health: Health,
+    fence: u64,
+    holding: bool,
+    /// Counts holds that were sent.
+    holds: u64,
+    hold_at: Mono,
+    leaving: bool,
+    counts: ExecutorCounts,
+    actions: Vec<Action>,
+}
+
+impl Executor {
+    /// An executor that knows nothing of its worker yet.
+    pub fn new(setup: ExecutorSetup) -> Executor {
+        Executor {
+            fence: setup.fence,
+            setup,
+            worker: None,
+            runs: HashMap::new(),
+            used: Demand::default(),
+            queue: VecDeque::new(),
+            sessions: HashMap::new(),
+            claims: HashMap::new(),
+            health: Health::default(),
+            holding: false,
+            holds: 0,
+            hold_at: Mono::default(),
+            leaving: false,
+            counts: ExecutorCounts::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes what is to be done.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The counters.
+    pub fn counts(&self) -> ExecutorCounts {
+        self.counts
+    }
+
+    /// Tasks running, and tasks waiting here.
+    pub fn load(&self) -> (usize, usize) {
+        (self.runs.len(), self.queue.len())
+    }
+
+    /// How many schedulers have a link here.
+    pub fn linked(&self) -> usize {
+        self.sessions.values().filter(|s| s.link.is_some()).count()
+    }
+
+    /// The greeting to schedulers.
+    pub fn greeting(&self) -> proto::Greeting {
+        proto::Greeting {
+            executor: true,
+            name: self.setup.name.clone(),
+            zone: self.setup.zone.clone(),
+            incarnation: self.setup.incarnation,
+            address: String::new(),
+        }
+    }
+
+    /// Takes note of what the worker says of itself.
+    pub fn beat(&mut self, now: Mono, beat: WorkerBeat) {
+        let known = self
+            .worker
+            .as_ref()
+            .is_some_and(|w| w.beat.life == beat.life);
+        if !known {
+            self.begin_life(now, beat);
+        } else if let Some(worker) = &mut self.worker {
+            if beat.sequence < worker.beat.sequence {
+                return;
+            }
+            let drains = beat.draining && !worker.beat.draining;
+            worker.beat = beat;
+            if drains {
+                self.log(Kind::WorkerDraining, self.life());
+                self.return_queue(now);
+            }
+        }
+        self.work(now);
+    }
+
+    /// Takes note that a life of the worker is over.
+    pub fn worker_left(&mut self, now: Mono, life: &str) {
+        if self.life() == life {
+            self.end_life(now);
+            self.work(now);
+        }
+    }
+
+    /// Passing time.
+    pub fn tick(&mut self, now: Mono) {
+        self.expire_leases(now);
+        self.expire_claims(now);
+        self.expire_waiting(now);
+        self.resend_stops(now);
+        self.stop_stalled(now);
+        self.work(now);
+    }
+
+    /// Takes nothing new; what runs goes on.
+    pub fn leave(&mut self, now: Mono) {
+        self.leaving = true;
+        self.log(Kind::Leaving, self.setup.name.clone());
+        self.return_queue(now);
+        self.work(now);
+    }
+
+    /// Whether an executor that leaves has nothing more to do.
+    pub fn is_done(&self) -> bool {
+        let told = self.sessions.values().all(|s| s.ends.is_empty());
+        self.leaving && self.runs.is_empty() && told
+    }
+
+    /// Whether tasks may start.
+    fn ready(&self) -> bool {
+        let ready = |w: &Worker| w.clean && w.answers && !w.beat.draining;
+        !self.leaving && self.worker.as_ref().is_some_and(ready)
+    }
+
+    fn life(&self) -> String {
+        let life = self.worker.as_ref().map(|w| w.beat.life.clone());
+        life.unwrap_or_default()
+    }
+
+    fn capacity(&self) -> Demand {
+        let capacity = self.worker.as_ref().map(|w| w.beat.capacity);
+        capacity.unwrap_or_default()
+    }
+
+    fn begin_life(&mut self, now: Mono, beat: WorkerBeat) {
+        if self.worker.is_some() {
+            self.end_life(now);
+        }
+        let detail = format!("{} of {}", beat.life, beat.service);
+        self.log(Kind::WorkerUp, detail);
+        self.health = Health::default();
+        self.worker = Some(Worker {
+            beat,
+            answers: true,
+            ..Worker::default()
+        });
+    }
+
+    /// Everything that ran in this life of the worker is over.
+    fn end_life(&mut self, now: Mono) {
+        self.log(Kind::WorkerDown, self.life());
+        self.worker = None;
+        let names: Vec<TaskName> = self.runs.keys().copied().collect();
+        for name in names {
+            self.end_run_lost(now, name);
+        }
+        self.return_queue(now);
+    }
+
+    /// The worker's clock now, by its last answer; 0 if not known.
+    fn worker_clock(&self, now: Mono) -> u64 {
+        let clock = self.worker.as_ref().and_then(|w| w.clock);
+        clock.map_or(0, |(ms, at)| ms + crate::clock::millis(now.since(at)))
+    }
+
+    fn deadline(&self, now: Mono, span: Duration) -> u64 {
+        match self.worker_clock(now) {
+            0 => 0,
+            clock => clock + crate::clock::millis(span),
+        }
+    }
+
+    /// What follows from the present state: starts, holds, reports.
+    fn work(&mut self, now: Mono) {
+        self.start_waiting(now);
+        self.hold(now);
+        self.report(now);
+    }
+
+    fn hold(&mut self, now: Mono) {
+        if self.holding || now < self.hold_at {
+            return;
+        }
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let deadline_ms = if worker.clean && worker.answers {
+            self.deadline(now, self.setup.worker_hold)
+        } else {
+            0
+        };
+        let wait = if worker.clean && worker.answers {
+            HOLD_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let call = HoldCall {
+            life: worker.beat.life.clone(),
+            deadline_ms,
+            fence: self.fence,
+            seen: worker.seen,
+            wait,
+        };
+        self.holding = true;
+        self.holds += 1;
+        self.actions.push(Action::Hold(call));
+    }
+
+    fn log(&mut self, kind: Kind, detail: String) {
+        self.actions.push(Action::Log(Event::new(kind, detail)));
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/executor/health.rs
@@ -0,0 +1,122 @@
+//! How well the worker does: told from ends and progress, not from what it says of itself.
+
+use super::Executor;
+use super::RunState;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::TaskName;
+use crate::event::Kind;
+use crate::prelude::*;
+
+/// The weight of the newest reading in the mean pace.
+const PACE_WEIGHT: f64 = 0.15;
+/// So many failures of different jobs in a row make a worker suspect.
+const FAILURES: u32 = 3;
+/// A suspect worker gets a task on trial this often.
+const TRIAL_GAP: Duration = Duration::from_millis(400);
+/// A task that has made no progress for this long, and a tenth of its estimate, stands still.
+const STALL: Duration = Duration::from_millis(220);
+/// Progress below this share says too little about the pace, in percent.
+const EARLY: u32 = 10;
+
+/// The worker's recent history.
+#[derive(Debug, Default)]
+pub(super) struct Health {
+    /// How long tasks take against their estimates; 0 if not known.
+    pace: f64,
+    failures: u32,
+    last_failed: Option<JobNumber>,
+    /// When the last trial task was let through, while suspect.
+    trial: Option<Mono>,
+    suspect: bool,
+}
+
+impl Health {
+    /// A run ended whole.
+    pub fn done(&mut self, ran: Duration, estimate: Duration) {
+        self.failures = 0;
+        self.last_failed = None;
+        self.suspect = false;
+        self.learn(ran, estimate);
+    }
+
+    /// A run failed, or the worker turned a start away.
+    pub fn failed(&mut self, now: Mono, job: JobNumber) {
+        if self.last_failed != Some(job) {
+            self.failures += 1;
+        }
+        self.last_failed = Some(job);
+        if self.failures >= FAILURES {
+            self.suspect = true;
+            self.trial = Some(now);
+        }
+    }
+
+    /// A run stood still.
+    pub fn stalled(&mut self, now: Mono) {
+        self.suspect = true;
+        self.trial = Some(now);
+    }
+
+    /// A run that has not ended is this far.
+    pub fn progress(&mut self, ran: Duration, percent: u32, estimate: Duration) {
+        if percent >= EARLY && percent < 100 {
+            let whole = ran.mul_f64(100.0 / f64::from(percent));
+            if whole > estimate.mul_f64(2.0) {
+                self.learn(whole, estimate);
+            }
+        }
+    }
+
+    fn learn(&mut self, ran: Duration, estimate: Duration) {
+        if estimate.is_zero() {
+            return;
+        }
+        let ratio = (ran.as_secs_f64() / estimate.as_secs_f64()).min(20.0);
+        if self.pace == 0.0 {
+            self.pace = ratio;
+        } else {
+            self.pace += PACE_WEIGHT * (ratio - self.pace);
+        }
+    }
+
+    /// The mean pace, in percent of the estimates; 0 if not known.
+    pub fn pace_percent(&self) -> u32 {
+        (self.pace * 100.0) as u32
+    }
+
+    /// Whether the worker should get tasks on trial only.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
+    /// Whether a suspect worker may be tried now. Counts as the trial if so.
+    pub fn may_try(&mut self, now: Mono) -> bool {
+        let due = self.trial.is_none_or(|at| now.since(at) >= TRIAL_GAP);
+        if due {
+            self.trial = Some(now);
+        }
+        due
+    }
+}
+
+impl Executor {
+    /// Stops runs that stand still, so that they can run elsewhere.
+    pub(super) fn stop_stalled(&mut self, now: Mono) {
+        let answers = self.worker.as_ref().is_some_and(|w| w.answers);
+        if !answers {
+            return;
+        }
+        let still = |run: &super::runs::Run| {
+            let bound = STALL + run.estimate / 10;
+            run.state == RunState::Running && now.since(run.moved) >= bound && run.percent < 100
+        };
+        let names = self.runs.iter().filter(|(_, r)| still(r));
+        let names: Vec<TaskName> = names.map(|(t, _)| *t).collect();
+        for name in names {
+            self.health.stalled(now);
+            self.log(Kind::RunStalled, name.to_string());
+            self.stop_run(now, name, EndKind::Stalled);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -0,0 +1,344 @@
+//! Sessions with schedulers: leases, orders taken in, ends and reports given out.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::Action;
+use super::Executor;
+use super::HEARTBEAT;
+use super::REPORT_GAP;
+use super::runs::Run;
+use super::runs::Waiting;
+use crate::dispatch::model::Demand;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::Free;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::TaskName;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+/// A session with one life of a scheduler. It outlasts its link by what is left of the lease.
+#[derive(Debug)]
+pub(super) struct Session {
+    /// The scheduler's name.
+    pub name: String,
+    pub link: Option<LinkId>,
+    pub lease_until: Mono,
+    /// Ends the scheduler has not confirmed, by number.
+    pub ends: BTreeMap<u64, proto::TaskEnd>,
+    pub told: u64,
+    pub next_end: u64,
+    pub sequence: u64,
+    pub claimed: Vec<JobNumber>,
+    pub urgent: bool,
+    pub changed: bool,
+    pub last_sent: Mono,
+    /// Whether what is held must be listed in the next update.
+    pub list_held: bool,
+}
+
+/// The key of a session, and of what runs for it: a scheduler's name and life.
+fn owner_of(greeting: &proto::Greeting) -> String {
+    format!("{}#{:x}", greeting.name, greeting.incarnation)
+}
+
+impl Executor {
+    /// A scheduler's link is up.
+    pub fn link_up(&mut self, now: Mono, link: LinkId, greeting: &proto::Greeting) {
+        let owner = owner_of(greeting);
+        let earlier = |key: &String, s: &Session| s.name == greeting.name && *key != owner;
+        let earlier = self.sessions.iter().filter(|(key, s)| earlier(key, s));
+        let earlier: Vec<String> = earlier.map(|(key, _)| key.clone()).collect();
+        for key in earlier {
+            self.end_session(now, &key);
+        }
+        let lease_until = now + self.setup.lease;
+        let session = self.sessions.entry(owner).or_insert(Session {
+            name: greeting.name.clone(),
+            link: None,
+            lease_until,
+            ends: BTreeMap::new(),
+            told: 0,
+            next_end: 1,
+            sequence: 0,
+            claimed: Vec::new(),
+            urgent: true,
+            changed: true,
+            last_sent: Mono::default(),
+            list_held: true,
+        });
+        if let Some(old) = session.link.replace(link) {
+            self.actions.push(Action::Close(old));
+        }
+        session.sequence = 0;
+        session.told = 0;
+        session.list_held = true;
+        session.urgent = true;
+        self.log(Kind::LinkUp, format!("scheduler {}", greeting.name));
+        self.work(now);
+    }
+
+    /// A link is down. What runs for its scheduler goes on until the lease is over.
+    pub fn link_down(&mut self, link: LinkId) {
+        let lost = |s: &&mut Session| s.link == Some(link);
+        if let Some(session) = self.sessions.values_mut().find(lost) {
+            session.link = None;
+        }
+        self.log(Kind::LinkDown, format!("link {}", link.0));
+    }
+
+    /// Orders from a scheduler.
+    pub fn orders(&mut self, now: Mono, link: LinkId, orders: proto::Orders) {
+        let linked = self.sessions.iter_mut();
+        let Some((name, session)) = linked.into_iter().find(|(_, s)| s.link == Some(link)) else {
+            return;
+        };
+        let name = name.clone();
+        let lease_until = Mono(orders.echo_us) + self.setup.lease;
+        session.lease_until = session.lease_until.max(lease_until);
+        session.ends.retain(|number, _| *number > orders.seen_ends);
+        if orders.sequence > 0 {
+            session.sequence = orders.sequence;
+            session.changed = true;
+        }
+        let fresh = now < lease_until;
+        for job in orders.claims {
+            self.claim(now, &name, JobNumber(job));
+        }
+        for stop in &orders.stops {
+            let (task, attempt) = TaskName::from_proto(stop);
+            self.stop_for(now, &name, task, attempt);
+        }
+        if !orders.starts.is_empty() {
+            self.sessions.values_mut().for_each(|s| s.changed = true);
+        }
+        for start in orders.starts {
+            self.take_start(now, &name, start, fresh);
+        }
+        if !orders.members.is_empty() {
+            self.actions.push(Action::Dial(orders.members));
+        }
+        self.work(now);
+    }
+
+    fn stop_for(&mut self, now: Mono, scheduler: &str, task: TaskName, attempt: u32) {
+        let mine = |s: &str, a: u32| s == scheduler && a == attempt;
+        let runs = self.runs.get(&task);
+        let runs = runs.is_some_and(|r| mine(&r.scheduler, r.attempt));
+        let waits = self.queue.iter().any(|w| w.task == task);
+        if runs || waits {
+            self.stop_task(now, task, EndKind::Stopped);
+        }
+    }
+
+    fn take_start(&mut self, now: Mono, scheduler: &str, start: proto::StartTasks, fresh: bool) {
+        let spec: Rc<str> = Rc::from(start.spec.as_str());
+        let demand = Demand::from_proto(start.demand);
+        for task in start.tasks {
+            let name = TaskName {
+                job: JobNumber(start.job),
+                occurrence: start.occurrence,
+                step: start.step,
+                index: task.index,
+            };
+            let waiting = Waiting {
+                scheduler: scheduler.to_owned(),
+                task: name,
+                attempt: task.attempt,
+                demand,
+                spread: start.spread,
+                estimate: Duration::from_millis(u64::from(start.estimate_ms)),
+                came: now,
+                latest: now + Duration::from_millis(u64::from(start.slack_ms)),
+                spec: spec.clone(),
+                checkpoint: task.checkpoint,
+            };
+            self.take_task(now, waiting, fresh);
+        }
+    }
+
+    fn take_task(&mut self, now: Mono, waiting: Waiting, fresh: bool) {
+        if self.claimed_from(&waiting.scheduler, waiting.task.job) {
+            return self.tell_unstarted(now, &waiting, EndKind::Claimed);
+        }
+        if !self.ready() || !fresh {
+            return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
+        }
+        if !waiting.demand.fits(Demand::default(), self.capacity()) {
+            return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
+        }
+        if self.health.is_suspect() && !self.health.may_try(now) {
+            return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
+        }
+        self.enqueue(waiting);
+    }
+
+    /// Hands back the tasks that wait.
+    pub(super) fn return_queue(&mut self, now: Mono) {
+        for waiting in std::mem::take(&mut self.queue) {
+            self.tell_unstarted(now, &waiting, EndKind::Unavailable);
+        }
+    }
+
+    /// Hands back tasks whose time has passed.
+    pub(super) fn expire_waiting(&mut self, now: Mono) {
+        while self.queue.front().is_some_and(|w| w.latest <= now) {
+            let waiting = self.queue.pop_front().expect("it is there");
+            self.tell_unstarted(now, &waiting, EndKind::Expired);
+        }
+    }
+
+    /// Ends the sessions whose lease is over; what runs for them is stopped.
+    pub(super) fn expire_leases(&mut self, now: Mono) {
+        let over = self.sessions.iter().filter(|(_, s)| s.lease_until <= now);
+        let over: Vec<String> = over.map(|(name, _)| name.clone()).collect();
+        for name in over {
+            self.counts.lapsed += 1;
+            self.log(Kind::LeaseOver, format!("scheduler {name}"));
+            self.end_session(now, &name);
+        }
+    }
+
+    fn end_session(&mut self, now: Mono, name: &str) {
+        if let Some(session) = self.sessions.remove(name)
+            && let Some(link) = session.link
+        {
+            self.actions.push(Action::Close(link));
+        }
+        self.queue.retain(|w| w.scheduler != name);
+        let runs = self.runs.iter().filter(|(_, r)| r.scheduler == name);
+        let tasks: Vec<TaskName> = runs.map(|(t, _)| *t).collect();
+        for task in tasks {
+            self.stop_run(now, task, EndKind::Lost);
+        }
+    }
+
+    /// Tells a scheduler how a run ended.
+    pub(super) fn tell_end(
+        &mut self,
+        now: Mono,
+        task: TaskName,
+        run: &Run,
+        kind: EndKind,
+        checkpoint: String,
+    ) {
+        let end = proto::TaskEnd {
+            number: 0,
+            task: Some(task.proto(run.attempt)),
+            kind: kind.code(),
+            checkpoint,
+            ran_us: crate::clock::micros(now.since(run.began)).max(1),
+            waited_us: crate::clock::micros(run.waited),
+        };
+        self.push_end(&run.scheduler, end);
+    }
+
+    /// Tells a scheduler that a task was not started.
+    pub(super) fn tell_unstarted(&mut self, now: Mono, waiting: &Waiting, kind: EndKind) {
+        self.counts.returned += 1;
+        let end = proto::TaskEnd {
+            number: 0,
+            task: Some(waiting.task.proto(waiting.attempt)),
+            kind: kind.code(),
+            checkpoint: String::new(),
+            ran_us: 0,
+            waited_us: crate::clock::micros(now.since(waiting.came)),
+        };
+        self.push_end(&waiting.scheduler, end);
+    }
+
+    fn push_end(&mut self, scheduler: &str, mut end: proto::TaskEnd) {
+        for session in self.sessions.values_mut() {
+            session.changed = true;
+        }
+        if let Some(session) = self.sessions.get_mut(scheduler) {
+            end.number = session.next_end;
+            session.next_end += 1;
+            session.ends.insert(end.number, end);
+            session.urgent = true;
+        }
+    }
+
+    /// Sends updates to the schedulers that are due one.
+    pub(super) fn report(&mut self, now: Mono) {
+        let due = |s: &Session| {
+            let gap = now.since(s.last_sent);
+            s.urgent || gap >= HEARTBEAT || (s.changed && gap >= REPORT_GAP)
+        };
+        let linked = self.sessions.iter().filter(|(_, s)| s.link.is_some());
+        let names = linked.filter(|(_, s)| due(s)).map(|(n, _)| n.clone());
+        let names: Vec<String> = names.collect();
+        for name in names {
+            self.send_update(now, &name);
+        }
+    }
+
+    fn send_update(&mut self, now: Mono, name: &str) {
+        let worker = Some(self.worker_report());
+        let leased = self.sessions.values().map(|s| s.name.clone()).collect();
+        let held = self.sessions[name].list_held.then(|| self.held_for(name));
+        let Some(session) = self.sessions.get_mut(name) else {
+            return;
+        };
+        let Some(link) = session.link else {
+            return;
+        };
+        let fresh = session.ends.range(session.told + 1..);
+        let ends: Vec<proto::TaskEnd> = fresh.map(|(_, e)| e.clone()).collect();
+        session.told = session.next_end - 1;
+        session.urgent = false;
+        session.changed = false;
+        session.list_held = false;
+        session.last_sent = now;
+        let claimed = session.claimed.drain(..).map(|j| j.0).collect();
+        let worker = worker.map(|w| proto::WorkerReport {
+            sequence: session.sequence,
+            ..w
+        });
+        let update = proto::Update {
+            clock_us: now.0,
+            worker,
+            ends,
+            claimed,
+            held,
+            leased,
+        };
+        let body = proto::frame::Body::Update(update);
+        self.actions.push(Action::Send(link, body));
+    }
+
+    fn held_for(&self, name: &str) -> proto::HeldTasks {
+        let runs = self.runs.iter().filter(|(_, r)| r.scheduler == name);
+        let runs = runs.map(|(t, r)| t.proto(r.attempt));
+        let waits = self.queue.iter().filter(|w| w.scheduler == name);
+        let waits = waits.map(|w| w.task.proto(w.attempt));
+        proto::HeldTasks {
+            tasks: runs.chain(waits).collect(),
+        }
+    }
+
+    fn worker_report(&self) -> proto::WorkerReport {
+        let Some(worker) = &self.worker else {
+            return proto::WorkerReport::default();
+        };
+        let capacity = worker.beat.capacity;
+        let mut free = Free::of(capacity).less(self.used);
+        for waiting in &self.queue {
+            free = free.less(waiting.demand);
+        }
+        proto::WorkerReport {
+            worker: worker.beat.life.clone(),
+            service: worker.beat.service.clone(),
+            ready: self.ready(),
+            capacity: Some(capacity.proto()),
+            free_cpu_milli: free.cpu_milli,
+            free_memory_mb: free.memory_mb,
+            free_gpu: free.gpu,
+            sequence: 0,
+            labels: worker.beat.labels.clone(),
+            pace_percent: self.health.pace_percent(),
+            suspect: self.health.is_suspect(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler.rs
@@ -0,0 +1,326 @@
+//! The scheduler's state machine: decides for the jobs that its entry was handed.
+//!
+//! A job stays with the scheduler it arrived at. Schedulers tell each other at once which jobs
+//! they have, so that a job that is handed in again elsewhere is followed rather than run anew.
+//! Where the other scheduler can't be asked, the job is claimed at the executors first: they end
+//! what the other one runs of it and start nothing more of it.
+
+mod ends;
+mod fleet;
+mod jobs;
+mod peers;
+mod placing;
+mod submit;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+
+use crate::dispatch::catalog::Catalog;
+use crate::dispatch::catalog::CatalogIndex;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::dispatch::scheduler::fleet::ExecutorKey;
+use crate::dispatch::scheduler::fleet::ExecutorView;
+use crate::dispatch::scheduler::jobs::Job;
+use crate::dispatch::scheduler::peers::Following;
+use crate::dispatch::scheduler::peers::Peer;
+use crate::event::Event;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+/// The scheduler's settings that concern decisions.
+#[derive(Clone, Debug)]
+pub struct SchedulerSetup {
+    /// Its name, unique among schedulers.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where other processes reach it.
+    pub address: String,
+    /// Drawn when the process starts.
+    pub incarnation: u64,
+    /// A link on which nothing arrives for so long is closed.
+    pub silence: Duration,
+    /// So long after an executor was last heard of, nothing runs there any more for this
+    /// scheduler.
+    pub lapse: Duration,
+    /// When the process started.
+    pub started: Mono,
+    /// Seeds the choice among workers that are alike.
+    pub seed: u64,
+}
+
+/// A caller that waits for the end of a job, numbered by the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallerId(pub u64);
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message on a link.
+    Send(LinkId, proto::frame::Body),
+    /// Close a link.
+    Close(LinkId),
+    /// Tell a caller what became of its job.
+    Answer(CallerId, JobOutcome),
+    /// Connect to schedulers that are not linked yet.
+    Dial(Vec<proto::Member>),
+    /// Write a log line.
+    Log(Event),
+}
+
+/// Counters, for metrics.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulerCounts {
+    /// Jobs handed in.
+    pub submitted: u64,
+    /// Jobs that were handed in again and joined one that is known.
+    pub joined: u64,
+    /// Jobs that were claimed at the executors before they ran.
+    pub claims: u64,
+    /// Tasks placed.
+    pub placed: u64,
+    /// Tasks placed again, by why the earlier try ended.
+    pub again: BTreeMap<&'static str, u64>,
+    /// Jobs ended, by outcome.
+    pub outcomes: BTreeMap<&'static str, u64>,
+    /// Refusals and failures, by cause.
+    pub causes: BTreeMap<&'static str, u64>,
+}
+
+/// How long the outcomes of jobs are remembered for callers who ask again.
+const MEMORY: Duration = Duration::from_secs(20);
+/// Heartbeats on links are this far apart.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Members are told to every link this often.
+const MEMBERS: Duration = Duration::from_millis(1000);
+
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    at: Mono,
+    outcome: JobOutcome,
+}
+
+/// The scheduler.
+pub struct Scheduler {
+    setup: SchedulerSetup,
+    catalog: Option<CatalogIndex>,
+    jobs: HashMap<JobNumber, Job>,
+    /// Jobs with tasks to place, by what is urgent.
+    waiting: BTreeSet<(u8, Mono, JobNumber)>,
+    ended: HashMap<JobNumber, Ended>,
+    following: HashMap<JobNumber, Following>,
+    /// Jobs that peers have.
+    announced: HashMap<JobNumber, (String, Mono)>,
+    executors: SlotMap<ExecutorKey, ExecutorView>,
+    peers: BTreeMap<String, Peer>,
+    members: BTreeMap<String, String>,
+    members_told: Mono,
+    /// How long tasks take against their estimates, by queue.
+    learned: HashMap<String, f64>,
+    leaving: bool,
+    closed: bool,
+    rng: SmallRng,
+    counts: SchedulerCounts,
+    actions: Vec<Action>,
+    now: Mono,
+}
+
+impl Scheduler {
+    /// A scheduler without catalog, executors and peers.
+    pub fn new(setup: SchedulerSetup) -> Scheduler {
+        let rng = SmallRng::seed_from_u64(setup.seed);
+        Scheduler {
+            setup,
+            catalog: None,
+            jobs: HashMap::new(),
+            waiting: BTreeSet::new(),
+            ended: HashMap::new(),
+            following: HashMap::new(),
+            announced: HashMap::new(),
+            executors: SlotMap::with_key(),
+            peers: BTreeMap::new(),
+            members: BTreeMap::new(),
+            members_told: Mono::default(),
+            learned: HashMap::new(),
+            leaving: false,
+            closed: false,
+            rng,
+            counts: SchedulerCounts::default(),
+            actions: Vec::new(),
+            now: Mono::default(),
+        }
+    }
+
+    /// Takes what is to be done.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        self.flush();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The counters.
+    pub fn counts(&self) -> &SchedulerCounts {
+        &self.counts
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> Option<&CatalogIndex> {
+        self.catalog.as_ref()
+    }
+
+    /// The version of the catalog in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |c| c.catalog().version)
+    }
+
+    /// Puts a catalog in force, unless a newer one is.
+    pub fn set_catalog(&mut self, now: Mono, catalog: Catalog) {
+        self.now = now;
+        if self.catalog.is_some() && catalog.version <= self.version() {
+            return;
+        }
+        let detail = format!("{}, before {}", catalog.version, self.version());
+        self.log(Kind::ConfigInForce, detail);
+        self.catalog = Some(CatalogIndex::new(catalog));
+        self.tell_catalog();
+    }
+
+    /// Whether requests should be sent here: a catalog is in force, a worker can be reached, and
+    /// the process is not leaving.
+    pub fn is_ready(&self) -> bool {
+        let reachable = self.executors.values().any(|e| e.link.is_some());
+        !self.leaving && self.catalog.is_some() && reachable
+    }
+
+    /// Jobs held, jobs that wait, linked executors, linked peers.
+    pub fn load(&self) -> [usize; 4] {
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        let peers = self.peers.values().filter(|p| p.link.is_some());
+        [
+            self.jobs.len(),
+            self.waiting.len(),
+            linked.count(),
+            peers.count(),
+        ]
+    }
+
+    /// Whether no job is held and nobody waits.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.following.is_empty()
+    }
+
+    /// Begins to leave: not ready any more, though what still comes is served.
+    pub fn leave(&mut self, now: Mono) {
+        self.now = now;
+        self.leaving = true;
+        self.log(Kind::Leaving, self.setup.name.clone());
+    }
+
+    /// Refuses whatever comes from now on; what is held goes on.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Gives up all that is held, so that every caller has an answer.
+    pub fn abandon(&mut self, now: Mono) {
+        self.now = now;
+        let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            self.give_up(number, "leaving");
+        }
+        for (_, following) in std::mem::take(&mut self.following) {
+            for caller in following.callers {
+                self.actions
+                    .push(Action::Answer(caller, JobOutcome::Unknown));
+            }
+        }
+    }
+
+    /// Passing time.
+    pub fn tick(&mut self, now: Mono) {
+        self.now = now;
+        self.expire_jobs();
+        self.watch_executors();
+        self.watch_peers();
+        self.forget();
+        self.settle_claims();
+        self.place();
+    }
+
+    fn forget(&mut self) {
+        let now = self.now;
+        self.ended.retain(|_, e| now.since(e.at) < MEMORY);
+        self.announced.retain(|_, (_, at)| now.since(*at) < MEMORY);
+    }
+
+    /// Names members that were learned elsewhere.
+    pub fn add_members(&mut self, now: Mono, members: Vec<proto::Member>) {
+        self.now = now;
+        let mut fresh = Vec::new();
+        for member in members {
+            let own = member.name == self.setup.name || member.address == self.setup.address;
+            let known = self.members.get(&member.name) == Some(&member.address);
+            if !own && !known {
+                self.members
+                    .insert(member.name.clone(), member.address.clone());
+                fresh.push(member);
+            }
+        }
+        if !fresh.is_empty() {
+            self.members_told = Mono::default();
+            self.actions.push(Action::Dial(fresh));
+        }
+    }
+
+    fn member_list(&self) -> Vec<proto::Member> {
+        let own = (&self.setup.name, &self.setup.address);
+        let all = std::iter::once(own).chain(&self.members);
+        let member = |(name, address): (&String, &String)| proto::Member {
+            name: name.clone(),
+            address: address.clone(),
+        };
+        all.map(member).collect()
+    }
+
+    /// The greeting to executors and peers.
+    pub fn greeting(&self) -> proto::Greeting {
+        proto::Greeting {
+            executor: false,
+            name: self.setup.name.clone(),
+            zone: self.setup.zone.clone(),
+            incarnation: self.setup.incarnation,
+            address: self.setup.address.clone(),
+        }
+    }
+
+    /// Sends what has been gathered for executors and peers.
+    fn flush(&mut self) {
+        let now = self.now;
+        let due = now.since(self.members_told) >= MEMBERS;
+        let members = if due { self.member_list() } else { Vec::new() };
+        if due {
+            self.members_told = now;
+        }
+        for executor in self.executors.values_mut() {
+            if let Some((link, orders)) = executor.due_orders(now, &members) {
+                let body = proto::frame::Body::Orders(orders);
+                self.actions.push(Action::Send(link, body));
+            }
+        }
+        self.flush_peers(&members);
+    }
+
+    fn log(&mut self, kind: Kind, detail: String) {
+        self.actions.push(Action::Log(Event::new(kind, detail)));
+    }
+
+    fn count_cause(&mut self, cause: &'static str) {
+        *self.counts.causes.entry(cause).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -0,0 +1,159 @@
+//! Ends of tasks, and what follows for their jobs.
+
+use super::Scheduler;
+use super::fleet::ExecutorKey;
+use super::jobs::TaskState;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::dispatch::model::TaskName;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+/// The weight of the newest reading in what is learned of a queue.
+const LEARN: f64 = 0.05;
+
+impl Scheduler {
+    /// An executor tells of the end of a task.
+    pub(super) fn task_ended(&mut self, key: ExecutorKey, end: &proto::TaskEnd) {
+        if !self.note_end(key, end.number) {
+            return;
+        }
+        let Some(kind) = EndKind::from_code(end.kind) else {
+            return;
+        };
+        let Some(task) = &end.task else {
+            return;
+        };
+        let (name, attempt) = TaskName::from_proto(task);
+        if kind == EndKind::Done {
+            self.learn(name, Duration::from_micros(end.ran_us));
+        }
+        if !end.checkpoint.is_empty()
+            && let Some(job) = self.jobs.get_mut(&name.job)
+            && let Some(task) = job.task_mut(name)
+        {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        self.task_gone(key, name, attempt, kind);
+    }
+
+    /// Learns how long tasks of a queue take against their estimates.
+    fn learn(&mut self, name: TaskName, ran: Duration) {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return;
+        };
+        let step = &job.request.steps[name.step as usize];
+        if step.estimate_ms == 0 {
+            return;
+        }
+        let ratio = ran.as_secs_f64() * 1000.0 / f64::from(step.estimate_ms);
+        let queue = job.request.queue.clone();
+        let learned = self.learned.entry(queue).or_insert(1.0);
+        *learned += LEARN * (ratio.min(4.0) - *learned);
+    }
+
+    /// A task is not at an executor any more.
+    pub(super) fn task_gone(
+        &mut self,
+        key: ExecutorKey,
+        name: TaskName,
+        attempt: u32,
+        kind: EndKind,
+    ) {
+        if let Some(executor) = self.executors.get_mut(key)
+            && executor.placed.get(&name) == Some(&attempt)
+        {
+            executor.placed.remove(&name);
+        }
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(name) else {
+            return;
+        };
+        if task.state != TaskState::Placed(key) || task.attempts != attempt {
+            return;
+        }
+        if kind == EndKind::Done {
+            return self.task_done(name);
+        }
+        task.state = TaskState::Ready;
+        self.task_again(key, name, kind);
+    }
+
+    fn task_done(&mut self, name: TaskName) {
+        let number = name.job;
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(name) {
+            task.state = TaskState::Done;
+        }
+        job.left -= 1;
+        job.unblock();
+        if job.left == 0 {
+            self.end_job(number, JobOutcome::Completed, "done");
+        } else {
+            self.queue_job(number);
+        }
+    }
+
+    fn task_again(&mut self, key: ExecutorKey, name: TaskName, kind: EndKind) {
+        let number = name.job;
+        let cause = cause_of(kind);
+        *self.counts.again.entry(cause).or_default() += 1;
+        let place = self.executors.get(key).map(|e| e.name.clone());
+        let place = place.unwrap_or_default();
+        self.log(Kind::TaskAgain, format!("{name} at {place}: {cause}"));
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let most = job.max_attempts;
+        let Some(task) = job.task_mut(name) else {
+            return;
+        };
+        match kind {
+            EndKind::Failed => {
+                task.failures += 1;
+                task.avoid = Some(key);
+                if task.failures >= most {
+                    self.count_cause("attempts");
+                    return self.end_job(number, JobOutcome::Failed, "attempts");
+                }
+            }
+            EndKind::Claimed => return self.lose_job(number),
+            EndKind::Unavailable => self.not_available(key),
+            EndKind::Stalled | EndKind::Lost => task.avoid = Some(key),
+            EndKind::Done | EndKind::Stopped | EndKind::Expired => {}
+        }
+        self.queue_job(number);
+    }
+
+    /// Nothing more is placed at an executor until it has reported again.
+    fn not_available(&mut self, key: ExecutorKey) {
+        if let Some(executor) = self.executors.get_mut(key) {
+            executor.report.ready = false;
+        }
+    }
+
+    /// Another scheduler has claimed a job.
+    fn lose_job(&mut self, number: JobNumber) {
+        self.count_cause("claimed");
+        self.end_job(number, JobOutcome::Unknown, "claimed");
+    }
+}
+
+fn cause_of(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Done => "done",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lost => "lost",
+        EndKind::Stalled => "stalled",
+        EndKind::Unavailable => "unavailable",
+        EndKind::Expired => "expired",
+        EndKind::Claimed => "claimed",
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -0,0 +1,288 @@
+//! Executors as a scheduler sees them: reports, room, and links.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use slotmap::new_key_type;
+
+use super::Action;
+use super::HEARTBEAT;
+use super::Scheduler;
+use crate::dispatch::model::Demand;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::Free;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::TaskName;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+new_key_type! {
+    /// An executor that the scheduler knows.
+    pub struct ExecutorKey;
+}
+
+/// Reports older than this do not count when tasks are placed.
+const FRESH: Duration = Duration::from_millis(350);
+/// An executor that has been gone for this long is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(6);
+
+/// An executor.
+#[derive(Clone, Debug)]
+pub(super) struct ExecutorView {
+    pub name: String,
+    pub zone: String,
+    pub incarnation: u64,
+    pub link: Option<LinkId>,
+    pub heard: Mono,
+    /// The executor's newest clock reading, to be echoed.
+    pub clock_us: u64,
+    pub report: proto::WorkerReport,
+    pub capacity: Demand,
+    /// What is free, as reported and less what was sent since.
+    pub free: Free,
+    /// Schedulers with a lease there.
+    pub leased: Vec<String>,
+    /// What was sent and is not counted in by a report, by sequence.
+    sent: VecDeque<(u64, Demand)>,
+    sequence: u64,
+    /// Tasks that were placed there, and their attempts.
+    pub placed: HashMap<TaskName, u32>,
+    pub orders: proto::Orders,
+    last_orders: Mono,
+    seen_ends: u64,
+    pub last_trial: Mono,
+    /// While an executor that was started anew has not met its worker: when what its forerunner
+    /// had started can not run any more at the latest.
+    renewed: Option<Mono>,
+}
+
+impl ExecutorView {
+    fn new(now: Mono, greeting: &proto::Greeting) -> ExecutorView {
+        ExecutorView {
+            name: greeting.name.clone(),
+            zone: greeting.zone.clone(),
+            incarnation: greeting.incarnation,
+            link: None,
+            heard: now,
+            clock_us: 0,
+            report: proto::WorkerReport::default(),
+            capacity: Demand::default(),
+            free: Free::default(),
+            leased: Vec::new(),
+            sent: VecDeque::new(),
+            sequence: 0,
+            placed: HashMap::new(),
+            orders: proto::Orders::default(),
+            last_orders: Mono::default(),
+            seen_ends: 0,
+            last_trial: Mono::default(),
+            renewed: None,
+        }
+    }
+
+    /// Whether tasks of a service may be placed there now.
+    pub fn takes(&self, now: Mono, service: &str) -> bool {
+        self.link.is_some()
+            && self.report.ready
+            && now.since(self.heard) < FRESH
+            && self.report.service == service
+    }
+
+    /// Takes room for a task that is about to be sent.
+    pub fn reserve(&mut self, demand: Demand) {
+        self.free = self.free.less(demand);
+        let next = self.sequence + 1;
+        match self.sent.back_mut() {
+            Some((sequence, sum)) if *sequence == next => *sum = sum.plus(demand),
+            _ => self.sent.push_back((next, demand)),
+        }
+    }
+
+    /// The orders to send now: what was gathered, or a heartbeat if one is due.
+    pub fn due_orders(
+        &mut self,
+        now: Mono,
+        members: &[proto::Member],
+    ) -> Option<(LinkId, proto::Orders)> {
+        let link = self.link?;
+        let orders = &self.orders;
+        let gathered =
+            !(orders.starts.is_empty() && orders.stops.is_empty() && orders.claims.is_empty());
+        if !gathered && members.is_empty() && now.since(self.last_orders) < HEARTBEAT {
+            return None;
+        }
+        let mut orders = std::mem::take(&mut self.orders);
+        if !orders.starts.is_empty() {
+            self.sequence += 1;
+            orders.sequence = self.sequence;
+        }
+        orders.echo_us = self.clock_us;
+        orders.seen_ends = self.seen_ends;
+        orders.members = members.to_vec();
+        self.last_orders = now;
+        Some((link, orders))
+    }
+
+    fn take_report(&mut self, report: proto::WorkerReport) {
+        let counted = report.sequence;
+        while self.sent.front().is_some_and(|(s, _)| *s <= counted) {
+            self.sent.pop_front();
+        }
+        self.capacity = Demand::from_proto(report.capacity);
+        let mut free = Free {
+            cpu_milli: report.free_cpu_milli,
+            memory_mb: report.free_memory_mb,
+            gpu: report.free_gpu,
+        };
+        for (_, demand) in &self.sent {
+            free = free.less(*demand);
+        }
+        self.free = free;
+        self.report = report;
+    }
+}
+
+impl Scheduler {
+    pub(super) fn executor_up(&mut self, link: LinkId, greeting: &proto::Greeting) {
+        let now = self.now;
+        let found = self.executors.iter();
+        let found = found.into_iter().find(|(_, e)| e.name == greeting.name);
+        let key = match found.map(|(key, _)| key) {
+            Some(key) => key,
+            None => self.executors.insert(ExecutorView::new(now, greeting)),
+        };
+        let executor = &mut self.executors[key];
+        let renewed = executor.incarnation != greeting.incarnation;
+        if renewed {
+            executor.seen_ends = 0;
+            executor.renewed = Some(executor.heard + self.setup.lapse);
+        }
+        if let Some(old) = executor.link.replace(link) {
+            self.actions.push(Action::Close(old));
+        }
+        executor.incarnation = greeting.incarnation;
+        executor.heard = now;
+        executor.report.ready = false;
+        executor.clock_us = 0;
+        executor.sequence = 0;
+        executor.sent.clear();
+        executor.orders = proto::Orders::default();
+        self.log(Kind::LinkUp, format!("executor {}", greeting.name));
+        self.claim_at(key);
+    }
+
+    /// Asks an executor that has come up for the jobs that are being claimed.
+    fn claim_at(&mut self, key: ExecutorKey) {
+        let claiming: Vec<JobNumber> = self.claiming();
+        let executor = &mut self.executors[key];
+        executor.orders.claims.extend(claiming.iter().map(|j| j.0));
+        for job in claiming {
+            self.await_claim(job, key);
+        }
+    }
+
+    pub(super) fn executor_of(&self, link: LinkId) -> Option<ExecutorKey> {
+        let mut all = self.executors.iter();
+        all.find(|(_, e)| e.link == Some(link)).map(|(key, _)| key)
+    }
+
+    /// An update from an executor.
+    pub(super) fn executor_update(&mut self, key: ExecutorKey, update: proto::Update) {
+        let now = self.now;
+        let executor = &mut self.executors[key];
+        executor.heard = now;
+        executor.clock_us = executor.clock_us.max(update.clock_us);
+        executor.leased = update.leased;
+        if let Some(report) = update.worker {
+            executor.take_report(report);
+        }
+        for end in update.ends {
+            self.task_ended(key, &end);
+        }
+        match (update.held, self.executors[key].renewed) {
+            (_, Some(at)) => self.settle_renewed(key, at),
+            (Some(held), None) => self.reconcile(key, &held),
+            (None, None) => {}
+        }
+        for job in update.claimed {
+            self.claim_confirmed(JobNumber(job), key);
+        }
+        self.place();
+    }
+
+    /// Takes note of the number of an end; whether it is new.
+    pub(super) fn note_end(&mut self, key: ExecutorKey, number: u64) -> bool {
+        let executor = &mut self.executors[key];
+        let new = number > executor.seen_ends;
+        executor.seen_ends = executor.seen_ends.max(number);
+        new
+    }
+
+    /// What an executor's forerunner had started is over once the worker is ready again.
+    fn settle_renewed(&mut self, key: ExecutorKey, at: Mono) {
+        let executor = &mut self.executors[key];
+        if executor.report.ready || self.now >= at {
+            executor.renewed = None;
+            self.lose_tasks(key);
+        }
+    }
+
+    /// Tasks that were sent on an earlier link and have not arrived are to be placed again.
+    fn reconcile(&mut self, key: ExecutorKey, held: &proto::HeldTasks) {
+        let held: Vec<(TaskName, u32)> = held.tasks.iter().map(TaskName::from_proto).collect();
+        let placed = &self.executors[key].placed;
+        let lost = placed.iter().map(|(t, a)| (*t, *a));
+        let lost: Vec<(TaskName, u32)> = lost.filter(|t| !held.contains(t)).collect();
+        for (task, attempt) in lost {
+            self.task_gone(key, task, attempt, EndKind::Lost);
+        }
+    }
+
+    pub(super) fn executor_down(&mut self, key: ExecutorKey) {
+        let executor = &mut self.executors[key];
+        executor.link = None;
+        executor.report.ready = false;
+        let detail = format!("executor {}", executor.name);
+        self.log(Kind::LinkDown, detail);
+    }
+
+    /// Closes silent links, and gives up the tasks of executors that are gone.
+    pub(super) fn watch_executors(&mut self) {
+        let now = self.now;
+        let keys: Vec<ExecutorKey> = self.executors.keys().collect();
+        for key in keys {
+            let executor = &mut self.executors[key];
+            let silent = now.since(executor.heard);
+            if silent >= self.setup.silence
+                && let Some(link) = executor.link
+            {
+                self.actions.push(Action::Close(link));
+                self.executor_down(key);
+            }
+            if silent >= self.setup.lapse {
+                self.lose_tasks(key);
+            }
+            if silent >= FORGOTTEN {
+                self.executors.remove(key);
+            }
+        }
+    }
+
+    /// Nothing that was placed there runs any more.
+    fn lose_tasks(&mut self, key: ExecutorKey) {
+        let placed = self.executors[key].placed.iter();
+        let placed: Vec<(TaskName, u32)> = placed.map(|(t, a)| (*t, *a)).collect();
+        for (task, attempt) in placed {
+            self.task_gone(key, task, attempt, EndKind::Lost);
+        }
+    }
+
+    /// Asks an executor to stop a task.
+    pub(super) fn order_stop(&mut self, key: ExecutorKey, task: TaskName, attempt: u32) {
+        if let Some(executor) = self.executors.get_mut(key) {
+            executor.orders.stops.push(task.proto(attempt));
+            executor.placed.remove(&task);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -0,0 +1,207 @@
+//! Jobs as a scheduler holds them.
+
+use std::rc::Rc;
+
+use super::CallerId;
+use super::fleet::ExecutorKey;
+use crate::dispatch::catalog::Queue;
+use crate::dispatch::model::JobRequest;
+use crate::dispatch::model::Step;
+use crate::dispatch::model::TaskName;
+use crate::prelude::*;
+
+/// A job is worth a little up to this many times its objective.
+pub(super) const LATE_FACTOR: f64 = 3.0;
+/// What of the objective has passed before a job arrives here, and passes with its answer.
+const TRAVEL: Duration = Duration::from_millis(12);
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TaskState {
+    /// Steps before it are not complete.
+    Blocked,
+    /// It is to be placed.
+    Ready,
+    /// It was sent to an executor.
+    Placed(ExecutorKey),
+    /// It ran to its end.
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug)]
+pub(super) struct Task {
+    pub step: u32,
+    pub index: u32,
+    pub state: TaskState,
+    pub attempts: u32,
+    pub failures: u32,
+    pub checkpoint: String,
+    /// Where it last failed.
+    pub avoid: Option<ExecutorKey>,
+}
+
+/// Whether a job may be placed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It may.
+    Active,
+    /// Executors that have yet to confirm that nobody else runs it.
+    Claiming(Vec<ExecutorKey>),
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub request: JobRequest,
+    pub spec: Rc<str>,
+    pub service: String,
+    pub priority: u32,
+    pub max_attempts: u32,
+    pub callers: Vec<CallerId>,
+    /// Peers that have a caller for it.
+    pub followers: Vec<String>,
+    pub arrived: Mono,
+    pub phase: Phase,
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: usize,
+    /// Whether a start of any task was sent.
+    pub began: bool,
+    /// When its caller's objective ends.
+    pub objective_at: Mono,
+    /// When it is of no use to anybody any more.
+    pub useless_at: Mono,
+    /// Its place among the jobs that wait, if it does.
+    pub place: Option<(u8, Mono)>,
+    /// The expected time of a task of each step at a worker of ordinary pace.
+    pub expected: Vec<Duration>,
+    /// The expected time from the start of each step to the end of the job.
+    pub chain: Vec<Duration>,
+}
+
+impl Job {
+    /// A job that has just arrived. `learned` is how long tasks of its queue take against their
+    /// estimates.
+    pub fn new(now: Mono, request: JobRequest, queue: &Queue, learned: f64) -> Job {
+        let estimate = |s: &Step| {
+            Duration::from_millis(u64::from(s.estimate_ms.max(1))).mul_f64(learned.max(0.01))
+        };
+        let expected: Vec<Duration> = request.steps.iter().map(estimate).collect();
+        let chain = chains(&request.steps, &expected);
+        let whole = chain.iter().copied().max().unwrap_or_default();
+        let objective = whole.mul_f64(queue.extension.max(1.0))
+            + Duration::from_millis(u64::from(queue.objective_ms));
+        let patience = Duration::from_millis(request.patience_ms);
+        let mut useless_at = now + objective.mul_f64(LATE_FACTOR);
+        if !patience.is_zero() {
+            useless_at = useless_at.min(now + patience);
+        }
+        let tasks: Vec<Task> = tasks_of(&request.steps);
+        Job {
+            spec: request.spec.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            callers: Vec::new(),
+            followers: Vec::new(),
+            arrived: now,
+            phase: Phase::Active,
+            left: tasks.len(),
+            tasks,
+            began: false,
+            objective_at: now + objective.saturating_sub(TRAVEL),
+            useless_at,
+            place: None,
+            expected,
+            chain,
+            request,
+        }
+    }
+
+    /// The name of a task.
+    pub fn name(&self, task: &Task) -> TaskName {
+        TaskName {
+            job: self.request.number,
+            occurrence: 0,
+            step: task.step,
+            index: task.index,
+        }
+    }
+
+    /// The task of this name.
+    pub fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
+        let same = |t: &&mut Task| t.step == name.step && t.index == name.index;
+        self.tasks.iter_mut().find(same)
+    }
+
+    /// The latest time at which the tasks that are ready can start and meet the objective.
+    pub fn latest_start(&self) -> Option<Mono> {
+        let ready = self.tasks.iter().filter(|t| t.state == TaskState::Ready);
+        let needed = ready.map(|t| self.chain[t.step as usize]).max()?;
+        Some(self.objective_at - needed)
+    }
+
+    /// Makes the tasks ready whose earlier steps are complete.
+    pub fn unblock(&mut self) {
+        let steps = &self.request.steps;
+        let open: Vec<bool> = (0..steps.len())
+            .map(|i| {
+                let after = &steps[i].after;
+                let left = |t: &Task| after.contains(&t.step) && t.state != TaskState::Done;
+                !self.tasks.iter().any(left)
+            })
+            .collect();
+        for task in &mut self.tasks {
+            if task.state == TaskState::Blocked && open[task.step as usize] {
+                task.state = TaskState::Ready;
+            }
+        }
+    }
+
+    /// Whether tasks of it are placed.
+    pub fn is_out(&self) -> bool {
+        let out = |t: &Task| matches!(t.state, TaskState::Placed(_));
+        self.tasks.iter().any(out)
+    }
+
+    /// Whether any task is done.
+    pub fn has_done(&self) -> bool {
+        self.tasks.iter().any(|t| t.state == TaskState::Done)
+    }
+}
+
+fn tasks_of(steps: &[Step]) -> Vec<Task> {
+    let mut tasks = Vec::new();
+    for (number, step) in steps.iter().enumerate() {
+        let state = if step.after.is_empty() {
+            TaskState::Ready
+        } else {
+            TaskState::Blocked
+        };
+        for index in 0..step.count {
+            tasks.push(Task {
+                step: number as u32,
+                index,
+                state,
+                attempts: 0,
+                failures: 0,
+                checkpoint: String::new(),
+                avoid: None,
+            });
+        }
+    }
+    tasks
+}
+
+/// For each step, the longest sum of expected times from its start to the end of the job.
+fn chains(steps: &[Step], expected: &[Duration]) -> Vec<Duration> {
+    let mut chain = expected.to_vec();
+    for later in (0..steps.len()).rev() {
+        for earlier in &steps[later].after {
+            let earlier = *earlier as usize;
+            chain[earlier] = chain[earlier].max(expected[earlier] + chain[later]);
+        }
+    }
+    chain
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -0,0 +1,419 @@
+//! Other schedulers: who has which job, whom to follow, and when a job has to be claimed.
+
+use super::Action;
+use super::CallerId;
+use super::HEARTBEAT;
+use super::Scheduler;
+use super::fleet::ExecutorKey;
+use super::jobs::Phase;
+use crate::dispatch::catalog::Catalog;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::dispatch::model::JobRequest;
+use crate::event::Kind;
+use crate::prelude::*;
+use crate::protos::dispatch as proto;
+
+/// News of jobs wait for each other at most this long.
+const NEWS_GAP: Duration = Duration::from_millis(15);
+
+/// A scheduler that has started within this time may have had jobs in its life before.
+const YOUNG: Duration = Duration::from_secs(3);
+
+/// Another scheduler.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Peer {
+    /// The link that messages are sent on.
+    pub link: Option<LinkId>,
+    /// Further links, as when both have connected to each other at once.
+    spare: Vec<LinkId>,
+    incarnation: u64,
+    address: String,
+    pub heard: Mono,
+    pub version: u64,
+    out: proto::PeerUpdate,
+    last_sent: Mono,
+}
+
+/// A job of a peer that callers here wait for.
+#[derive(Clone, Debug)]
+pub(super) struct Following {
+    pub peer: String,
+    pub callers: Vec<CallerId>,
+    pub request: JobRequest,
+}
+
+impl Scheduler {
+    /// A link is up.
+    pub fn link_up(&mut self, now: Mono, link: LinkId, greeting: &proto::Greeting) {
+        self.now = now;
+        if greeting.executor {
+            self.executor_up(link, greeting);
+        } else {
+            self.peer_up(link, greeting);
+        }
+    }
+
+    /// A link is down.
+    pub fn link_down(&mut self, now: Mono, link: LinkId) {
+        self.now = now;
+        if let Some(key) = self.executor_of(link) {
+            self.executor_down(key);
+        } else if let Some(name) = self.peer_of(link) {
+            self.peer_link_down(&name, link);
+        }
+    }
+
+    /// A message has come in.
+    pub fn message(&mut self, now: Mono, link: LinkId, body: proto::frame::Body) {
+        self.now = now;
+        match body {
+            proto::frame::Body::Update(update) => {
+                if let Some(key) = self.executor_of(link) {
+                    self.executor_update(key, update);
+                }
+            }
+            proto::frame::Body::Peer(update) => {
+                if let Some(name) = self.peer_of(link) {
+                    self.peer_update(&name, update);
+                }
+            }
+            proto::frame::Body::Greeting(_) | proto::frame::Body::Orders(_) => {}
+        }
+    }
+
+    /// Whether a link to the peer at this address is up.
+    pub fn is_linked_to(&self, address: &str) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|p| p.link.is_some() && p.address == address)
+    }
+
+    /// Whether a link to this peer is up.
+    pub fn is_linked(&self, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|p| p.link.is_some())
+    }
+
+    fn peer_of(&self, link: LinkId) -> Option<String> {
+        let mut peers = self.peers.iter();
+        let found = peers.find(|(_, p)| p.link == Some(link) || p.spare.contains(&link));
+        found.map(|(name, _)| name.clone())
+    }
+
+    fn peer_up(&mut self, link: LinkId, greeting: &proto::Greeting) {
+        let now = self.now;
+        let jobs = self.jobs.keys().map(|j| j.0).collect();
+        let peer = self.peers.entry(greeting.name.clone()).or_default();
+        let old = peer.link.replace(link);
+        if peer.incarnation == greeting.incarnation {
+            peer.spare.extend(old);
+        } else {
+            let closing = peer.spare.drain(..).chain(old);
+            self.actions.extend(closing.map(Action::Close));
+        }
+        peer.incarnation = greeting.incarnation;
+        peer.address.clone_from(&greeting.address);
+        peer.heard = now;
+        peer.version = 0;
+        peer.out = proto::PeerUpdate {
+            jobs,
+            ..proto::PeerUpdate::default()
+        };
+        peer.last_sent = Mono::default();
+        let member = proto::Member {
+            name: greeting.name.clone(),
+            address: greeting.address.clone(),
+        };
+        self.log(Kind::LinkUp, format!("scheduler {}", greeting.name));
+        self.add_members(now, vec![member]);
+        self.tell_catalog();
+    }
+
+    fn peer_link_down(&mut self, name: &str, link: LinkId) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        peer.spare.retain(|l| *l != link);
+        if peer.link == Some(link) {
+            peer.link = peer.spare.pop();
+        }
+        if peer.link.is_none() {
+            self.peer_down(name);
+        }
+    }
+
+    fn peer_down(&mut self, name: &str) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        peer.link = None;
+        self.log(Kind::LinkDown, format!("scheduler {name}"));
+        let orphans = self.following.iter().filter(|(_, f)| f.peer == name);
+        let orphans: Vec<JobNumber> = orphans.map(|(n, _)| *n).collect();
+        for number in orphans {
+            self.take_over(number);
+        }
+    }
+
+    /// Runs a job here that a peer had and can't be asked about.
+    fn take_over(&mut self, number: JobNumber) {
+        let Some(following) = self.following.remove(&number) else {
+            return;
+        };
+        for caller in following.callers {
+            self.run_here(caller, following.request.clone(), true);
+        }
+    }
+
+    fn peer_update(&mut self, name: &str, update: proto::PeerUpdate) {
+        let now = self.now;
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.heard = now;
+            peer.version = update.catalog_version;
+        }
+        for job in update.jobs {
+            self.announced
+                .insert(JobNumber(job), (name.to_owned(), now));
+        }
+        for job in update.follow {
+            self.follow_request(name, JobNumber(job));
+        }
+        for end in update.ends {
+            let outcome = JobOutcome::from_code(end.outcome);
+            self.followed_end(JobNumber(end.job), outcome);
+        }
+        for job in update.cancel {
+            self.cancel(now, JobNumber(job));
+        }
+        if !update.members.is_empty() {
+            self.add_members(now, update.members);
+        }
+        if !update.catalog.is_empty() {
+            self.read_catalog(&update.catalog);
+        }
+        self.tell_catalog();
+    }
+
+    fn read_catalog(&mut self, bytes: &[u8]) {
+        match serde_json::from_slice::<Catalog>(bytes) {
+            Ok(catalog) => self.set_catalog(self.now, catalog),
+            Err(e) => self.log(Kind::ConfigBad, e.to_string()),
+        }
+    }
+
+    /// Hands the catalog to the peers that are behind.
+    pub(super) fn tell_catalog(&mut self) {
+        let Some(index) = &self.catalog else {
+            return;
+        };
+        let version = index.catalog().version;
+        let mut bytes = None;
+        for peer in self.peers.values_mut() {
+            if peer.link.is_some() && peer.version < version {
+                let json = bytes
+                    .get_or_insert_with(|| serde_json::to_vec(index.catalog()).unwrap_or_default());
+                peer.out.catalog = json.clone().into();
+                peer.version = version;
+            }
+        }
+    }
+
+    /// A peer has a caller for a job of this scheduler.
+    fn follow_request(&mut self, name: &str, number: JobNumber) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.followers.push(name.to_owned());
+            return;
+        }
+        let known = self.ended.get(&number).map(|e| e.outcome);
+        self.tell_peer_end(name, number, known.unwrap_or(JobOutcome::Unknown));
+    }
+
+    /// Tells a peer how a job ended that it follows.
+    pub(super) fn tell_peer_end(&mut self, name: &str, number: JobNumber, outcome: JobOutcome) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            let (job, outcome) = (number.0, outcome.code());
+            peer.out.ends.push(proto::JobEnd { job, outcome });
+        }
+    }
+
+    fn followed_end(&mut self, number: JobNumber, outcome: JobOutcome) {
+        if outcome == JobOutcome::Unknown {
+            self.announced.remove(&number);
+            let Some(following) = self.following.remove(&number) else {
+                return;
+            };
+            for caller in following.callers {
+                self.run_here(caller, following.request.clone(), true);
+            }
+            return;
+        }
+        if let Some(following) = self.following.remove(&number) {
+            self.remember(number, outcome);
+            for caller in following.callers {
+                self.actions.push(Action::Answer(caller, outcome));
+            }
+        }
+    }
+
+    /// Asks a peer to tell the end of its job.
+    pub(super) fn follow(&mut self, peer_name: &str, caller: CallerId, request: JobRequest) {
+        let number = request.number;
+        self.counts.joined += 1;
+        if let Some(following) = self.following.get_mut(&number) {
+            following.callers.push(caller);
+            return;
+        }
+        self.log(Kind::JobFollowed, format!("{number} at {peer_name}"));
+        if let Some(peer) = self.peers.get_mut(peer_name) {
+            peer.out.follow.push(number.0);
+        }
+        let following = Following {
+            peer: peer_name.to_owned(),
+            callers: vec![caller],
+            request,
+        };
+        self.following.insert(number, following);
+    }
+
+    /// Passes a cancel on to the peer that has the job; whether there is one.
+    pub(super) fn cancel_at_peer(&mut self, number: JobNumber) -> bool {
+        let Some((name, _)) = self.announced.get(&number) else {
+            return false;
+        };
+        let peer = self.peers.get_mut(name);
+        let Some(peer) = peer.filter(|p| p.link.is_some()) else {
+            return false;
+        };
+        peer.out.cancel.push(number.0);
+        true
+    }
+
+    /// Tells every peer of a job that was taken.
+    pub(super) fn announce(&mut self, number: JobNumber) {
+        for peer in self.peers.values_mut() {
+            if peer.link.is_some() {
+                peer.out.jobs.push(number.0);
+            }
+        }
+    }
+
+    /// Closes silent links to peers.
+    pub(super) fn watch_peers(&mut self) {
+        let now = self.now;
+        let bound = self.setup.silence;
+        let silent = |p: &Peer| p.link.is_some() && now.since(p.heard) >= bound;
+        let names = self.peers.iter().filter(|(_, p)| silent(p));
+        let names: Vec<String> = names.map(|(n, _)| n.clone()).collect();
+        for name in names {
+            if let Some(peer) = self.peers.get_mut(&name) {
+                let closing = peer.spare.drain(..).chain(peer.link.take());
+                self.actions.extend(closing.map(Action::Close));
+            }
+            self.peer_down(&name);
+        }
+    }
+
+    /// Whether a job that comes in may be at work elsewhere without this scheduler knowing: it
+    /// has only just started, or some executor still hears a peer that can't be heard here.
+    pub(super) fn in_doubt(&self) -> bool {
+        if self.now.since(self.setup.started) < YOUNG {
+            return true;
+        }
+        let away = self.peers.iter().filter(|(_, p)| p.link.is_none());
+        let mut away = away.map(|(name, _)| name);
+        away.any(|name| {
+            let mut executors = self.executors.values();
+            executors.any(|e| e.link.is_some() && e.leased.contains(name))
+        })
+    }
+
+    /// Jobs that are being claimed.
+    pub(super) fn claiming(&self) -> Vec<JobNumber> {
+        let claiming = self.jobs.iter();
+        let claiming = claiming.filter(|(_, j)| matches!(j.phase, Phase::Claiming(_)));
+        claiming.map(|(n, _)| *n).collect()
+    }
+
+    /// Asks all executors to end what others have of a job; the job waits for that.
+    pub(super) fn claim(&mut self, number: JobNumber) {
+        self.counts.claims += 1;
+        let mut asked = Vec::new();
+        for (key, executor) in &mut self.executors {
+            executor.orders.claims.push(number.0);
+            asked.push(key);
+        }
+        self.log(Kind::JobClaimed, format!("{number} at {}", asked.len()));
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.phase = Phase::Claiming(asked);
+        }
+        self.settle_claims();
+    }
+
+    pub(super) fn await_claim(&mut self, number: JobNumber, key: ExecutorKey) {
+        if let Some(job) = self.jobs.get_mut(&number)
+            && let Phase::Claiming(asked) = &mut job.phase
+            && !asked.contains(&key)
+        {
+            asked.push(key);
+        }
+    }
+
+    pub(super) fn claim_confirmed(&mut self, number: JobNumber, key: ExecutorKey) {
+        if let Some(job) = self.jobs.get_mut(&number)
+            && let Phase::Claiming(asked) = &mut job.phase
+        {
+            asked.retain(|k| *k != key);
+        }
+        self.settle_claims();
+    }
+
+    /// Begins the jobs that every executor has confirmed, or that can't run where it has not.
+    pub(super) fn settle_claims(&mut self) {
+        let now = self.now;
+        let lapse = self.setup.lapse;
+        for number in self.claiming() {
+            let executors = &self.executors;
+            let open = |key: &ExecutorKey| {
+                let executor = executors.get(*key);
+                executor.is_some_and(|e| e.link.is_some() || now.since(e.heard) < lapse)
+            };
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            if let Phase::Claiming(asked) = &job.phase
+                && !asked.iter().any(open)
+            {
+                job.phase = Phase::Active;
+                self.queue_job(number);
+            }
+        }
+    }
+
+    /// Sends the peers their news and heartbeats.
+    pub(super) fn flush_peers(&mut self, members: &[proto::Member]) {
+        let now = self.now;
+        let version = self.version();
+        let leaving = self.leaving;
+        for peer in self.peers.values_mut() {
+            let Some(link) = peer.link else {
+                continue;
+            };
+            let out = &peer.out;
+            let urgent = !(out.follow.is_empty()
+                && out.ends.is_empty()
+                && out.cancel.is_empty()
+                && out.catalog.is_empty());
+            let gap = now.since(peer.last_sent);
+            let news = !out.jobs.is_empty() && gap >= NEWS_GAP;
+            if !urgent && !news && members.is_empty() && gap < HEARTBEAT {
+                continue;
+            }
+            let mut update = std::mem::take(&mut peer.out);
+            update.catalog_version = version;
+            update.members = members.to_vec();
+            update.leaving = leaving;
+            peer.last_sent = now;
+            let body = proto::frame::Body::Peer(update);
+            self.actions.push(Action::Send(link, body));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -0,0 +1,199 @@
+//! Jobs come in: taken, joined to one that is known, or refused.
+
+use super::Action;
+use super::CallerId;
+use super::Ended;
+use super::Scheduler;
+use super::jobs::Job;
+use super::jobs::TaskState;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::dispatch::model::JobRequest;
+use crate::event::Kind;
+use crate::prelude::*;
+
+/// Callers that are refused come back after this long at the earliest, in milliseconds.
+const RETRY_BASE_MS: u32 = 400;
+/// They are spread over this long, in milliseconds.
+const RETRY_SPREAD_MS: u32 = 800;
+
+impl Scheduler {
+    /// A job is handed in. The caller hears of its end by [`Action::Answer`].
+    pub fn submit(&mut self, now: Mono, caller: CallerId, request: JobRequest) {
+        self.now = now;
+        self.counts.submitted += 1;
+        let number = request.number;
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.callers.push(caller);
+            self.counts.joined += 1;
+            return;
+        }
+        if let Some(outcome) = self.known_outcome(number) {
+            self.counts.joined += 1;
+            self.actions.push(Action::Answer(caller, outcome));
+            return;
+        }
+        if self.closed {
+            return self.refuse_unheld(caller, number, "leaving");
+        }
+        if let Some((peer, _)) = self.announced.get(&number) {
+            let peer = peer.clone();
+            if self.is_linked(&peer) {
+                return self.follow(&peer, caller, request);
+            }
+            return self.run_here(caller, request, true);
+        }
+        let doubt = self.in_doubt();
+        self.run_here(caller, request, doubt);
+        self.place();
+    }
+
+    /// The outcome of a job that has ended, if it stands.
+    fn known_outcome(&self, number: JobNumber) -> Option<JobOutcome> {
+        let outcome = self.ended.get(&number)?.outcome;
+        let stands = !matches!(outcome, JobOutcome::Refused(_) | JobOutcome::Unknown);
+        stands.then_some(outcome)
+    }
+
+    /// Takes a job. If it may be running for another scheduler, it is claimed first.
+    pub(super) fn run_here(&mut self, caller: CallerId, request: JobRequest, claim: bool) {
+        let number = request.number;
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.callers.push(caller);
+            return;
+        }
+        let queue = self.catalog.as_ref().and_then(|c| c.queue(&request.queue));
+        let Some(queue) = queue else {
+            return self.refuse_unheld(caller, number, "no-queue");
+        };
+        let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
+        let mut job = Job::new(self.now, request, queue, learned);
+        job.callers.push(caller);
+        let detail = format!(
+            "{number} queue {} tasks {} objective in {} ms",
+            queue.name,
+            job.left,
+            crate::clock::millis(self.now.until(job.objective_at)),
+        );
+        self.log(Kind::JobTaken, detail);
+        self.jobs.insert(number, job);
+        self.announce(number);
+        if claim {
+            self.claim(number);
+        } else {
+            self.queue_job(number);
+        }
+    }
+
+    fn refuse_unheld(&mut self, caller: CallerId, number: JobNumber, cause: &'static str) {
+        let outcome = self.refusal();
+        self.count_cause(cause);
+        self.count_outcome(outcome);
+        self.log(Kind::JobRefused, format!("{number} {cause}"));
+        self.actions.push(Action::Answer(caller, outcome));
+    }
+
+    /// A refusal with a time to come back that spreads the callers.
+    pub(super) fn refusal(&mut self) -> JobOutcome {
+        let spread = rand::Rng::random_range(&mut self.rng, 0..RETRY_SPREAD_MS);
+        JobOutcome::Refused(RETRY_BASE_MS + spread)
+    }
+
+    /// A caller has left. A job that nobody waits for is cancelled.
+    pub fn caller_left(&mut self, now: Mono, caller: CallerId, number: JobNumber) {
+        self.now = now;
+        if let Some(following) = self.following.get_mut(&number) {
+            following.callers.retain(|c| *c != caller);
+            if following.callers.is_empty() {
+                self.following.remove(&number);
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        job.callers.retain(|c| *c != caller);
+        if job.callers.is_empty() && job.followers.is_empty() {
+            self.count_cause("caller-left");
+            self.end_job(number, JobOutcome::Unknown, "caller-left");
+            self.place();
+        }
+    }
+
+    /// Cancels a job; whether it is known.
+    pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
+        self.now = now;
+        if self.jobs.contains_key(&number) {
+            self.end_job(number, JobOutcome::Cancelled, "cancelled");
+            self.place();
+            return true;
+        }
+        self.ended.contains_key(&number) || self.cancel_at_peer(number)
+    }
+
+    /// What is known of a job: `None` if nothing is, else its outcome, if it has ended, or
+    /// whether any task has begun.
+    pub fn job_state(&self, number: JobNumber) -> Option<Result<JobOutcome, bool>> {
+        if let Some(job) = self.jobs.get(&number) {
+            return Some(Err(job.began));
+        }
+        self.ended.get(&number).map(|e| Ok(e.outcome))
+    }
+
+    /// How many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        let jobs = self.jobs.values().filter(|j| j.request.queue == queue);
+        jobs.filter(|j| !j.began).count()
+    }
+
+    /// Ends a job: stops what runs of it, answers its callers, and remembers the outcome.
+    pub(super) fn end_job(&mut self, number: JobNumber, outcome: JobOutcome, cause: &'static str) {
+        let Some(job) = self.jobs.remove(&number) else {
+            return;
+        };
+        if let Some((class, at)) = job.place {
+            self.waiting.remove(&(class, at, number));
+        }
+        for task in &job.tasks {
+            if let TaskState::Placed(key) = task.state {
+                self.order_stop(key, job.name(task), task.attempts);
+            }
+        }
+        let took = crate::clock::millis(self.now.since(job.arrived));
+        let detail = format!("{number} {} {cause} after {took} ms", outcome.word());
+        let kind = match outcome {
+            JobOutcome::Completed => Kind::JobCompleted,
+            JobOutcome::Refused(_) => Kind::JobRefused,
+            _ => Kind::JobFailed,
+        };
+        self.log(kind, detail);
+        self.count_outcome(outcome);
+        self.remember(number, outcome);
+        for caller in &job.callers {
+            self.actions.push(Action::Answer(*caller, outcome));
+        }
+        for peer in &job.followers {
+            self.tell_peer_end(peer, number, outcome);
+        }
+    }
+
+    pub(super) fn remember(&mut self, number: JobNumber, outcome: JobOutcome) {
+        let at = self.now;
+        self.ended.insert(number, Ended { at, outcome });
+    }
+
+    fn count_outcome(&mut self, outcome: JobOutcome) {
+        *self.counts.outcomes.entry(outcome.word()).or_default() += 1;
+    }
+
+    /// Gives up a job: refused if nothing of it was started, else unknown.
+    pub(super) fn give_up(&mut self, number: JobNumber, cause: &'static str) {
+        let began = self.jobs.get(&number).is_some_and(|j| j.began);
+        let outcome = if began {
+            JobOutcome::Failed
+        } else {
+            self.refusal()
+        };
+        self.count_cause(cause);
+        self.end_job(number, outcome, cause);
+    }
+}
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -45,6 +45,8 @@
     Started = 100, Info, "the process started";
     Leaving = 101, Info, "the process is leaving: it takes no new work and finishes what it has";
     Left = 102, Info, "the process has left";
+    Reloaded = 103, Info, "the settings file has changed and was taken up";
+    ReloadFailed = 104, Error, "the settings file can't be taken up; the last good settings stay";
     LinkUp = 110, Info, "a link to another process is up";
     LinkDown = 111, Warn, "a link to another process is down";
     BadFrame = 112, Warn, "a message could not be read; its link is closed";
@@ -72,6 +74,25 @@
     ConfigInForce = 300, Info, "a configuration version is in force";
     ConfigBad = 301, Error, "a configuration version can't be read and was passed over";
     RequestRefused = 310, Info, "requests were refused";
+    JobTaken = 400, Info, "a job was taken";
+    JobCompleted = 401, Info, "a job is complete";
+    JobFailed = 402, Info, "a job ended without success";
+    JobRefused = 403, Info, "a job was refused; nothing of it was started";
+    JobFollowed = 404, Info, "a job that came again is followed at another scheduler";
+    JobClaimed = 405, Info, "a job is claimed at the executors before it runs";
+    TaskAgain = 410, Info, "a task is to be placed again";
+    WorkerUp = 420, Info, "a worker has registered";
+    WorkerReady = 421, Info, "a worker takes tasks";
+    WorkerDraining = 422, Info, "a worker is leaving and takes no new tasks";
+    WorkerDown = 423, Warn, "a life of a worker is over";
+    WorkerSilent = 424, Warn, "the worker does not answer";
+    WorkerAnswers = 425, Info, "the worker answers again";
+    StartUnanswered = 430, Warn, "a start got no answer; its run is stopped before anything else";
+    StartRefused = 431, Info, "the worker refused a start";
+    FenceRaised = 432, Warn, "the worker had seen a higher fencing token; a higher one is used";
+    RunStalled = 433, Warn, "a run stands still and is stopped";
+    StrangerRun = 434, Warn, "a run that was not started here is stopped";
+    LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
 }
 
 /// One occurrence of an event.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod agent;
 pub mod clock;
 pub mod configuration;
+pub mod dispatch;
 pub mod entry;
 pub mod event;
 pub mod findings;
