scheduler: a job given up after a start is not failed

Ruled out: 504, which has the caller hand the job in again at once; 503, which says that nothing was started.

Change: an outcome of its own, told as a final error of the system.

--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -312,6 +312,9 @@
     Cancelled,
     /// No task of it was started, nor will be; come back after this many milliseconds.
     Refused(u32),
+    /// It was given up after some task had been started; nothing of it runs any more. It is not
+    /// known to have failed by a fault of its own.
+    GivenUp,
     /// It is not known here, or was given up while tasks may have run; it may be handed in again.
     Unknown,
 }
@@ -325,6 +328,7 @@
             JobOutcome::Cancelled => 3,
             JobOutcome::Refused(ms) => 4 | (ms.min(0xff_ffff) << 8),
             JobOutcome::Unknown => 5,
+            JobOutcome::GivenUp => 6,
         }
     }
 
@@ -335,6 +339,7 @@
             2 => JobOutcome::Failed,
             3 => JobOutcome::Cancelled,
             4 => JobOutcome::Refused(code >> 8),
+            6 => JobOutcome::GivenUp,
             _ => JobOutcome::Unknown,
         }
     }
@@ -347,6 +352,7 @@
             JobOutcome::Cancelled => "cancelled",
             JobOutcome::Refused(_) => "refused",
             JobOutcome::Unknown => "unknown",
+            JobOutcome::GivenUp => "given-up",
         }
     }
 }
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -185,11 +185,11 @@
         *self.counts.outcomes.entry(outcome.word()).or_default() += 1;
     }
 
-    /// Gives up a job: refused if nothing of it was started, else unknown.
+    /// Gives up a job: refused if nothing of it was started, else given up.
     pub(super) fn give_up(&mut self, number: JobNumber, cause: &'static str) {
         let began = self.jobs.get(&number).is_some_and(|j| j.began);
         let outcome = if began {
-            JobOutcome::Failed
+            JobOutcome::GivenUp
         } else {
             self.refusal()
         };
