--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -213,7 +213,7 @@
         match action {
             Action::Send(link, body) => {
                 if let Some(sender) = self.inner.links.borrow().get(&link) {
-                    sender.send(body);
+                    sender.send(*body);
                 }
             }
             Action::Close(link) => {
--- a/lib/src/dispatch/executor/health.rs
+++ b/lib/src/dispatch/executor/health.rs
@@ -60,7 +60,7 @@
 
     /// A run that has not ended is this far.
     pub fn progress(&mut self, ran: Duration, percent: u32, estimate: Duration) {
-        if percent >= EARLY && percent < 100 {
+        if (EARLY..100).contains(&percent) {
             let whole = ran.mul_f64(100.0 / f64::from(percent));
             if whole > estimate.mul_f64(2.0) {
                 self.learn(whole, estimate);
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a message on a link.
-    Send(LinkId, proto::frame::Body),
+    Send(LinkId, Box<proto::frame::Body>),
     /// Close a link.
     Close(LinkId),
     /// Tell a caller what became of its job.
@@ -310,7 +310,7 @@
         for executor in self.executors.values_mut() {
             if let Some((link, orders)) = executor.due_orders(now, &members) {
                 let body = proto::frame::Body::Orders(orders);
-                self.actions.push(Action::Send(link, body));
+                self.actions.push(Action::Send(link, Box::new(body)));
             }
         }
         self.flush_peers(&members);
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -413,7 +413,7 @@
             update.leaving = leaving;
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
-            self.actions.push(Action::Send(link, body));
+            self.actions.push(Action::Send(link, Box::new(body)));
         }
     }
 }
