dispatch: randomised runs on a virtual clock, and what they found first

Change: a scheduler places nothing, and lets nothing run, where a peer that it can't hear could not claim it; claims wait until such a peer has noticed; maps that are walked are ordered, so that a seed reproduces its run.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -9,7 +9,7 @@
 mod runs;
 mod sessions;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -264,11 +264,11 @@
 pub struct Executor {
     setup: ExecutorSetup,
     worker: Option<Worker>,
-    runs: HashMap<TaskName, Run>,
+    runs: BTreeMap<TaskName, Run>,
     used: Demand,
     queue: VecDeque<Waiting>,
-    sessions: HashMap<String, Session>,
-    claims: HashMap<JobNumber, Claim>,
+    sessions: BTreeMap<String, Session>,
+    claims: BTreeMap<JobNumber, Claim>,
     health: Health,
     fence: u64,
     holding: bool,
@@ -287,11 +287,11 @@
             fence: setup.fence,
             setup,
             worker: None,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             used: Demand::default(),
             queue: VecDeque::new(),
-            sessions: HashMap::new(),
-            claims: HashMap::new(),
+            sessions: BTreeMap::new(),
+            claims: BTreeMap::new(),
             health: Health::default(),
             holding: false,
             holds: 0,
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -111,15 +111,17 @@
 pub struct Scheduler {
     setup: SchedulerSetup,
     catalog: Option<CatalogIndex>,
-    jobs: HashMap<JobNumber, Job>,
+    jobs: BTreeMap<JobNumber, Job>,
     /// Jobs with tasks to place, by what is urgent.
     waiting: BTreeSet<(u8, Mono, JobNumber)>,
-    ended: HashMap<JobNumber, Ended>,
-    following: HashMap<JobNumber, Following>,
+    ended: BTreeMap<JobNumber, Ended>,
+    following: BTreeMap<JobNumber, Following>,
     /// Jobs that peers have.
-    announced: HashMap<JobNumber, (String, Mono)>,
+    announced: BTreeMap<JobNumber, (String, Mono)>,
     executors: SlotMap<ExecutorKey, ExecutorView>,
     peers: BTreeMap<String, Peer>,
+    /// Peers that can't be heard here though executors hear them, at the last look.
+    doubts: Vec<String>,
     members: BTreeMap<String, String>,
     members_told: Mono,
     /// How long tasks take against their estimates, by queue.
@@ -139,13 +141,14 @@
         Scheduler {
             setup,
             catalog: None,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            ended: HashMap::new(),
-            following: HashMap::new(),
-            announced: HashMap::new(),
+            ended: BTreeMap::new(),
+            following: BTreeMap::new(),
+            announced: BTreeMap::new(),
             executors: SlotMap::with_key(),
             peers: BTreeMap::new(),
+            doubts: Vec::new(),
             members: BTreeMap::new(),
             members_told: Mono::default(),
             learned: HashMap::new(),
@@ -248,6 +251,7 @@
         self.expire_jobs();
         self.watch_executors();
         self.watch_peers();
+        self.leave_unclaimable();
         self.forget();
         self.settle_claims();
         self.place();
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -66,6 +66,7 @@
             && executor.placed.get(&name) == Some(&attempt)
         {
             executor.placed.remove(&name);
+            executor.stopping.remove(&name);
         }
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -1,6 +1,7 @@
 //! Executors as a scheduler sees them: reports, room, and links.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use slotmap::new_key_type;
@@ -47,7 +48,9 @@
     sent: VecDeque<(u64, Demand)>,
     sequence: u64,
     /// Tasks that were placed there, and their attempts.
-    pub placed: HashMap<TaskName, u32>,
+    pub placed: BTreeMap<TaskName, u32>,
+    /// Those of them that are to be stopped.
+    pub stopping: BTreeSet<TaskName>,
     pub orders: proto::Orders,
     last_orders: Mono,
     seen_ends: u64,
@@ -72,7 +75,8 @@
             leased: Vec::new(),
             sent: VecDeque::new(),
             sequence: 0,
-            placed: HashMap::new(),
+            placed: BTreeMap::new(),
+            stopping: BTreeSet::new(),
             orders: proto::Orders::default(),
             last_orders: Mono::default(),
             seen_ends: 0,
@@ -89,6 +93,11 @@
             && self.report.service == service
     }
 
+    /// Whether the executor hears all of these schedulers.
+    pub fn hears(&self, names: &[String]) -> bool {
+        names.iter().all(|name| self.leased.contains(name))
+    }
+
     /// Takes room for a task that is about to be sent.
     pub fn reserve(&mut self, demand: Demand) {
         self.free = self.free.less(demand);
@@ -168,6 +177,7 @@
         executor.sequence = 0;
         executor.sent.clear();
         executor.orders = proto::Orders::default();
+        executor.stopping.clear();
         self.log(Kind::LinkUp, format!("executor {}", greeting.name));
         self.claim_at(key);
     }
@@ -197,6 +207,7 @@
         if let Some(report) = update.worker {
             executor.take_report(report);
         }
+        self.leave_unclaimable();
         for end in update.ends {
             self.task_ended(key, &end);
         }
@@ -278,11 +289,24 @@
         }
     }
 
+    /// Stops all that was placed at an executor, to place it elsewhere once that is confirmed.
+    pub(super) fn stop_all_at(&mut self, key: ExecutorKey) {
+        let executor = &mut self.executors[key];
+        for (task, attempt) in &executor.placed {
+            let stop = task.proto(*attempt);
+            if !executor.stopping.contains(task) {
+                executor.orders.stops.push(stop);
+                executor.stopping.insert(*task);
+            }
+        }
+    }
+
     /// Asks an executor to stop a task.
     pub(super) fn order_stop(&mut self, key: ExecutorKey, task: TaskName, attempt: u32) {
         if let Some(executor) = self.executors.get_mut(key) {
             executor.orders.stops.push(task.proto(attempt));
             executor.placed.remove(&task);
+            executor.stopping.remove(&task);
         }
     }
 }
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -5,6 +5,7 @@
 use super::HEARTBEAT;
 use super::Scheduler;
 use super::fleet::ExecutorKey;
+use super::fleet::ExecutorView;
 use super::jobs::Phase;
 use crate::dispatch::catalog::Catalog;
 use crate::dispatch::model::JobNumber;
@@ -17,6 +18,8 @@
 /// News of jobs wait for each other at most this long.
 const NEWS_GAP: Duration = Duration::from_millis(15);
 
+/// A job that was handed in at a peer so long ago has been announced if the peer was heard since.
+const UNANNOUNCED: Duration = Duration::from_millis(1200);
 /// A scheduler that has started within this time may have had jobs in its life before.
 const YOUNG: Duration = Duration::from_secs(3);
 
@@ -179,7 +182,7 @@
         }
         for end in update.ends {
             let outcome = JobOutcome::from_code(end.outcome);
-            self.followed_end(JobNumber(end.job), outcome);
+            self.followed_end(name, JobNumber(end.job), outcome);
         }
         for job in update.cancel {
             self.cancel(now, JobNumber(job));
@@ -235,16 +238,9 @@
         }
     }
 
-    fn followed_end(&mut self, number: JobNumber, outcome: JobOutcome) {
+    fn followed_end(&mut self, name: &str, number: JobNumber, outcome: JobOutcome) {
         if outcome == JobOutcome::Unknown {
-            self.announced.remove(&number);
-            let Some(following) = self.following.remove(&number) else {
-                return;
-            };
-            for caller in following.callers {
-                self.run_here(caller, following.request.clone(), true);
-            }
-            return;
+            return self.follow_elsewhere(name, number);
         }
         if let Some(following) = self.following.remove(&number) {
             self.remember(number, outcome);
@@ -254,6 +250,25 @@
         }
     }
 
+    /// The peer that had a job has it no more: another one has it by now, or it is run here.
+    fn follow_elsewhere(&mut self, name: &str, number: JobNumber) {
+        let by_it = self.announced.get(&number).is_some_and(|(n, _)| n == name);
+        if by_it {
+            self.announced.remove(&number);
+        }
+        let Some(following) = self.following.remove(&number) else {
+            return;
+        };
+        let other = self.announced.get(&number).map(|(n, _)| n.clone());
+        for caller in following.callers {
+            let request = following.request.clone();
+            match &other {
+                Some(other) if self.is_linked(other) => self.follow(other, caller, request),
+                _ => self.run_here(caller, request, true),
+            }
+        }
+    }
+
     /// Asks a peer to tell the end of its job.
     pub(super) fn follow(&mut self, peer_name: &str, caller: CallerId, request: JobRequest) {
         let number = request.number;
@@ -312,18 +327,57 @@
         }
     }
 
-    /// Whether a job that comes in may be at work elsewhere without this scheduler knowing: it
-    /// has only just started, or some executor still hears a peer that can't be heard here.
+    /// Peers that can't be heard here, though some executor hears them: they may be at work.
+    pub(super) fn doubtful(&self) -> Vec<String> {
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        let heard = linked.flat_map(|e| e.leased.iter());
+        let away = heard.filter(|name| **name != self.setup.name && !self.is_linked(name));
+        let mut away: Vec<String> = away.cloned().collect();
+        away.sort_unstable();
+        away.dedup();
+        away
+    }
+
+    /// When a peer was last heard of.
+    fn last_heard(&self, name: &str) -> Mono {
+        let heard = self.peers.get(name).map(|p| p.heard);
+        heard.unwrap_or_default().max(self.setup.started)
+    }
+
+    /// Whether a job that comes in for the first time here may be at work elsewhere without this
+    /// scheduler knowing: it has only just started, or a peer is at work that has not been heard
+    /// for so long that a job of its may come again here without having been announced.
     pub(super) fn in_doubt(&self) -> bool {
-        if self.now.since(self.setup.started) < YOUNG {
+        let now = self.now;
+        if now.since(self.setup.started) < YOUNG {
             return true;
         }
-        let away = self.peers.iter().filter(|(_, p)| p.link.is_none());
-        let mut away = away.map(|(name, _)| name);
-        away.any(|name| {
-            let mut executors = self.executors.values();
-            executors.any(|e| e.link.is_some() && e.leased.contains(name))
-        })
+        let unheard = |name: &String| now.since(self.last_heard(name)) >= UNANNOUNCED;
+        self.doubtful().iter().any(unheard)
+    }
+
+    /// Whether every peer that can't be heard has had the time to notice that, and to stop its
+    /// runs where a claim of this scheduler does not reach.
+    fn peers_settled(&self) -> bool {
+        let (now, lapse) = (self.now, self.setup.lapse);
+        let settled = |p: &Peer| p.link.is_some() || now.since(p.heard) >= lapse;
+        self.peers.values().all(settled)
+    }
+
+    /// Stops what runs where a peer that can't be heard here could not claim it: that peer may
+    /// be handed the same job.
+    pub(super) fn leave_unclaimable(&mut self) {
+        let doubtful = self.doubtful();
+        self.doubts = doubtful;
+        if self.doubts.is_empty() {
+            return;
+        }
+        let unclaimable = |e: &ExecutorView| e.link.is_some() && !e.hears(&self.doubts);
+        let keys = self.executors.iter().filter(|(_, e)| unclaimable(e));
+        let keys: Vec<ExecutorKey> = keys.map(|(key, _)| key).collect();
+        for key in keys {
+            self.stop_all_at(key);
+        }
     }
 
     /// Jobs that are being claimed.
@@ -370,6 +424,9 @@
     pub(super) fn settle_claims(&mut self) {
         let now = self.now;
         let lapse = self.setup.lapse;
+        if !self.peers_settled() {
+            return;
+        }
         for number in self.claiming() {
             let executors = &self.executors;
             let open = |key: &ExecutorKey| {
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -174,6 +174,9 @@
             if Some(key) == avoid || !executor.takes(now, &job.service) {
                 continue;
             }
+            if !executor.hears(&self.doubts) {
+                continue;
+            }
             if !executor.free.holds(s.demand) || !suits(executor, s) {
                 continue;
             }
--- /dev/null
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -0,0 +1,58 @@
+//! Randomised runs of the dispatch plane, by seeds.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::value_parser;
+use stackcourse_testutils::dispatch::run;
+
+fn main() -> ExitCode {
+    let matches = Command::new("dispatch-run")
+        .about("Runs schedulers and executors on a virtual clock under drawn faults")
+        .arg(number("from", "1", "The first seed"))
+        .arg(number("seeds", "100", "How many seeds"))
+        .arg(number("span", "40", "Virtual seconds with faults in each run"))
+        .arg(
+            Arg::new("trace")
+                .long("trace")
+                .action(ArgAction::SetTrue)
+                .help("Print what happens"),
+        )
+        .get_matches();
+    let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    let span = Duration::from_secs(value("span"));
+    let trace = matches.get_flag("trace");
+    let mut broken = 0;
+    let mut steps = 0;
+    let mut starts = 0;
+    for seed in value("from")..value("from") + value("seeds") {
+        let report = if trace {
+            run::run_traced(seed, span)
+        } else {
+            run::run(seed, span)
+        };
+        steps += report.steps;
+        starts += report.starts;
+        if report.violation.is_some() || report.recovered < run::RECOVERED {
+            broken += 1;
+            println!("seed {seed}: {report:?}");
+        }
+    }
+    println!("{steps} steps, {starts} starts, {broken} seeds with a broken promise");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
--- /dev/null
+++ b/lib/testutils/src/dispatch/run.rs
@@ -0,0 +1,144 @@
+//! Randomised runs: load and faults drawn from a seed, which reproduces the run.
+
+use rand::Rng;
+use stackcourse_lib::prelude::Duration;
+
+use crate::dispatch::network::Node;
+use crate::dispatch::world::World;
+
+/// What came of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunReport {
+    /// Inputs given to the state machines.
+    pub steps: u64,
+    /// Tasks that began.
+    pub starts: u64,
+    /// Jobs that callers were told are complete.
+    pub completed: u64,
+    /// Jobs that were refused.
+    pub refused: u64,
+    /// Jobs that ended otherwise.
+    pub others: u64,
+    /// The first promise that was broken.
+    pub violation: Option<String>,
+    /// Jobs complete of those handed in after all faults had ended, in percent.
+    pub recovered: u64,
+}
+
+const SCHEDULERS: usize = 3;
+const EXECUTORS: usize = 5;
+/// The share of jobs that must be complete once all faults have ended, in percent.
+pub const RECOVERED: u64 = 80;
+/// Jobs handed in while it is calm again.
+const CALM_JOBS: u64 = 60;
+
+/// Runs a seed for a span of virtual time with faults, then for some time without.
+pub fn run(seed: u64, span: Duration) -> RunReport {
+    run_world(World::new(seed, SCHEDULERS, EXECUTORS), span)
+}
+
+/// Runs a seed and prints what happens.
+pub fn run_traced(seed: u64, span: Duration) -> RunReport {
+    let mut world = World::new(seed, SCHEDULERS, EXECUTORS);
+    world.trace = true;
+    run_world(world, span)
+}
+
+fn run_world(mut world: World, span: Duration) -> RunReport {
+    world.run(Duration::from_millis(3500));
+    let faults = world.rng.random_range(0.0..0.12);
+    let end = world.now + span.as_micros() as u64;
+    while world.now < end && world.witness.violation.is_none() {
+        let pause = world.rng.random_range(1..90);
+        world.run(Duration::from_millis(pause));
+        hand_in(&mut world);
+        if world.rng.random_bool(faults) {
+            fault(&mut world);
+        }
+    }
+    calm(&mut world);
+    let before = world.witness.completed;
+    for _ in 0..CALM_JOBS {
+        hand_in(&mut world);
+        world.run(Duration::from_millis(60));
+    }
+    world.run(Duration::from_secs(6));
+    RunReport {
+        steps: world.steps,
+        starts: world.witness.starts,
+        completed: world.witness.completed,
+        refused: world.witness.refused,
+        others: world.witness.others,
+        violation: world.witness.violation.clone(),
+        recovered: (world.witness.completed - before) * 100 / CALM_JOBS,
+    }
+}
+
+fn hand_in(world: &mut World) {
+    let number = world.callers.new_job(&mut world.rng, &mut world.witness);
+    let (schedulers, _) = world.size();
+    let at = world.rng.random_range(0..schedulers);
+    world.hand_in(number, at);
+}
+
+fn any_node(world: &mut World) -> Node {
+    let (schedulers, executors) = world.size();
+    if world.rng.random_bool(0.5) {
+        Node::Scheduler(world.rng.random_range(0..schedulers))
+    } else {
+        Node::Executor(world.rng.random_range(0..executors))
+    }
+}
+
+fn fault(world: &mut World) {
+    let node = any_node(world);
+    let (_, executors) = world.size();
+    let worker = world.rng.random_range(0..executors);
+    let kind = world.rng.random_range(0..13);
+    world.print(node, &format!("fault {kind}, worker {worker}"));
+    match kind {
+        0 | 1 => {
+            if world.is_node_up(node) {
+                let silent = world.rng.random_bool(0.5);
+                let away = world.rng.random_range(20_000..3_000_000);
+                world.kill(node, silent, away);
+            }
+        }
+        2 => {
+            let span = world.rng.random_range(50_000..4_000_000);
+            world.freeze(node, span);
+        }
+        3 | 4 => {
+            let other = any_node(world);
+            world.cut(node, other);
+            if world.rng.random_bool(0.6) {
+                world.cut(other, node);
+            }
+        }
+        5 => world.heal(),
+        6 => world.reset(node),
+        7 => world.crash_worker(worker),
+        8 => world.raise_worker(worker),
+        9 => {
+            let pace = world.rng.random_range(1.0..7.0);
+            world.workers[worker].pace = pace;
+        }
+        10 => world.workers[worker].sick = world.rng.random_bool(0.5),
+        11 => world.late = [0.0, 0.05, 0.2][world.rng.random_range(0..3)],
+        _ => world.lost = [0.0, 0.03, 0.1][world.rng.random_range(0..3)],
+    }
+}
+
+/// Ends all faults and lets what is left of them pass.
+fn calm(world: &mut World) {
+    world.heal();
+    world.late = 0.0;
+    world.lost = 0.0;
+    let (_, executors) = world.size();
+    for number in 0..executors {
+        world.raise_worker(number);
+        world.workers[number].pace = 1.0;
+        world.workers[number].sick = false;
+    }
+    world.run(Duration::from_secs(14));
+}
--- /dev/null
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -0,0 +1,222 @@
+//! A model of a worker, after what the platform says of it: leases on its own clock, run numbers,
+//! fencing tokens, a list of ends that is forgotten once it was taken note of.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use stackcourse_lib::dispatch::executor::FinishedRow;
+use stackcourse_lib::dispatch::executor::HoldCall;
+use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::OrderReply;
+use stackcourse_lib::dispatch::executor::RunName;
+use stackcourse_lib::dispatch::executor::RunningRow;
+use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::executor::StartRefusal;
+use stackcourse_lib::dispatch::executor::WorkerEnd;
+use stackcourse_lib::dispatch::model::TaskName;
+
+/// Runs are kept for at most this long without a renewal, in microseconds of the worker's clock.
+pub const MOST_HELD_US: u64 = 1_000_000;
+/// A stop takes this long, in microseconds.
+pub const STOP_US: u64 = 30_000;
+
+/// A run at the worker.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelRun {
+    /// Its number.
+    pub run: u32,
+    /// When it began, in microseconds of the world's clock.
+    pub began: u64,
+    /// When it ends by itself.
+    pub ends: u64,
+    /// Whether it ends in failure.
+    pub fails: bool,
+    /// When a stop that was ordered takes effect.
+    pub stopping: Option<u64>,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerModel {
+    /// Its id.
+    pub life: String,
+    /// What it has, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether it is up.
+    pub up: bool,
+    /// Whether it says that it leaves.
+    pub draining: bool,
+    /// How long work takes here against its ordinary time.
+    pub pace: f64,
+    /// Whether all that is started fails.
+    pub sick: bool,
+    /// What runs.
+    pub running: BTreeMap<TaskName, ModelRun>,
+    fence: u64,
+    held_until: u64,
+    above: HashMap<TaskName, u32>,
+    finished: Vec<FinishedRow>,
+    next_end: u64,
+}
+
+impl WorkerModel {
+    /// A worker that has just come up.
+    pub fn new(life: String, capacity: u32) -> WorkerModel {
+        WorkerModel {
+            life,
+            capacity,
+            up: true,
+            draining: false,
+            pace: 1.0,
+            sick: false,
+            running: BTreeMap::new(),
+            fence: 0,
+            held_until: 0,
+            above: HashMap::new(),
+            finished: Vec::new(),
+            next_end: 1,
+        }
+    }
+
+    fn extend(&mut self, now: u64, deadline_ms: u64) {
+        let until = (deadline_ms * 1000).min(now + MOST_HELD_US);
+        self.held_until = self.held_until.max(until);
+    }
+
+    /// Carries out a start; `work_us` is its ordinary time. Says whether a run began.
+    pub fn start(
+        &mut self,
+        now: u64,
+        call: &StartCall,
+        work_us: u64,
+        fails: bool,
+    ) -> (OrderReply, bool) {
+        if call.life != self.life {
+            return (OrderReply::WrongLife, false);
+        }
+        if call.fence < self.fence {
+            return (OrderReply::Refused(StartRefusal::Fence), false);
+        }
+        self.fence = call.fence;
+        if call.deadline_ms > 0 && call.deadline_ms * 1000 < now {
+            return (OrderReply::Refused(StartRefusal::Late), false);
+        }
+        self.extend(now, call.deadline_ms);
+        let RunName { task, run } = call.run;
+        if self.running.get(&task).is_some_and(|r| r.run == run) {
+            return (OrderReply::Done(now / 1000), false);
+        }
+        let old = self.above.get(&task).is_some_and(|n| run <= *n);
+        if old || self.running.contains_key(&task) {
+            return (OrderReply::Refused(StartRefusal::Old), false);
+        }
+        let work = (work_us as f64 * self.pace) as u64;
+        let begun = ModelRun {
+            run,
+            began: now,
+            ends: now + work,
+            fails: fails || self.sick,
+            stopping: None,
+        };
+        self.running.insert(task, begun);
+        (OrderReply::Done(now / 1000), true)
+    }
+
+    /// Carries out a stop.
+    pub fn stop(&mut self, now: u64, life: &str, name: RunName, fence: u64) -> OrderReply {
+        if life != self.life {
+            return OrderReply::WrongLife;
+        }
+        if fence < self.fence {
+            return OrderReply::Refused(StartRefusal::Fence);
+        }
+        self.fence = fence;
+        let above = self.above.entry(name.task).or_default();
+        *above = (*above).max(name.run);
+        if let Some(run) = self.running.get_mut(&name.task)
+            && run.run <= name.run
+        {
+            run.stopping.get_or_insert(now + STOP_US);
+        }
+        OrderReply::Done(now / 1000)
+    }
+
+    /// Carries out a hold.
+    pub fn hold(&mut self, now: u64, call: &HoldCall) -> HoldReply {
+        if call.life != self.life {
+            return HoldReply::WrongLife;
+        }
+        if call.fence < self.fence {
+            return HoldReply::Fenced;
+        }
+        self.fence = call.fence;
+        if call.deadline_ms > 0 {
+            self.extend(now, call.deadline_ms);
+        }
+        self.finished.retain(|f| f.number > call.seen);
+        let row = |(task, run): (&TaskName, &ModelRun)| {
+            let done = now.saturating_sub(run.began) * 100;
+            let whole = (run.ends - run.began).max(1);
+            RunningRow {
+                run: RunName {
+                    task: *task,
+                    run: run.run,
+                },
+                percent: (done / whole).min(99) as u32,
+            }
+        };
+        HoldReply::Lists {
+            clock_ms: now / 1000,
+            running: self.running.iter().map(row).collect(),
+            finished: self.finished.clone(),
+        }
+    }
+
+    /// Whether ends wait to be taken note of.
+    pub fn has_news(&self, seen: u64) -> bool {
+        self.finished.iter().any(|f| f.number > seen)
+    }
+
+    /// Ends what is over by now; gives the ends.
+    pub fn advance(&mut self, now: u64) -> Vec<(RunName, WorkerEnd)> {
+        let lapsed = now >= self.held_until;
+        let end = |run: &ModelRun| {
+            if run.ends <= now {
+                Some(if run.fails {
+                    WorkerEnd::Failed
+                } else {
+                    WorkerEnd::Done
+                })
+            } else if run.stopping.is_some_and(|at| at <= now) {
+                Some(WorkerEnd::Stopped)
+            } else if lapsed {
+                Some(WorkerEnd::Lapsed)
+            } else {
+                None
+            }
+        };
+        let over = self.running.iter();
+        let over: Vec<(RunName, WorkerEnd)> = over
+            .filter_map(|(task, r)| {
+                let run = RunName {
+                    task: *task,
+                    run: r.run,
+                };
+                end(r).map(|e| (run, e))
+            })
+            .collect();
+        for (run, end) in &over {
+            self.running.remove(&run.task);
+            let above = self.above.entry(run.task).or_default();
+            *above = (*above).max(run.run);
+            self.finished.push(FinishedRow {
+                number: self.next_end,
+                run: *run,
+                end: *end,
+                checkpoint: String::new(),
+            });
+            self.next_end += 1;
+        }
+        over
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/dispatch/world.rs
@@ -0,0 +1,750 @@
+//! A world of schedulers, executors and workers on a virtual clock.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use stackcourse_lib::dispatch::executor;
+use stackcourse_lib::dispatch::executor::Executor;
+use stackcourse_lib::dispatch::executor::ExecutorSetup;
+use stackcourse_lib::dispatch::executor::HoldCall;
+use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::OrderReply;
+use stackcourse_lib::dispatch::executor::RunName;
+use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::executor::WorkerBeat;
+use stackcourse_lib::dispatch::executor::WorkerEnd;
+use stackcourse_lib::dispatch::model::Demand;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::scheduler;
+use stackcourse_lib::dispatch::scheduler::CallerId;
+use stackcourse_lib::dispatch::scheduler::Scheduler;
+use stackcourse_lib::dispatch::scheduler::SchedulerSetup;
+use stackcourse_lib::prelude::Duration;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::prelude::Mono;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+use crate::dispatch::callers;
+use crate::dispatch::callers::AGAIN_US;
+use crate::dispatch::callers::Callers;
+use crate::dispatch::callers::SERVICE;
+use crate::dispatch::network::Network;
+use crate::dispatch::network::Node;
+use crate::dispatch::witness::Witness;
+use crate::dispatch::worker::WorkerModel;
+
+/// What a worker of the world has, in thousandths of a core.
+pub const CAPACITY: u32 = 16_000;
+/// Time passes for processes in steps of this, in microseconds.
+const TICK_US: u64 = 20_000;
+/// Workers beat this often, in microseconds.
+const BEAT_US: u64 = 500_000;
+/// Workers' lists are looked at this often while a hold waits, in microseconds.
+const POLL_US: u64 = 1_000;
+
+/// Something that is due.
+#[derive(Debug)]
+enum Due {
+    Tick(Node, u64),
+    Deliver(LinkId, Node, Body),
+    Closed(LinkId, Node),
+    Dial(Node, Node, u64),
+    Beat(usize),
+    Start(usize, u64, StartCall, bool),
+    Stop(usize, u64, String, RunName, u64, bool),
+    Hold(usize, u64, HoldCall, u64),
+    Started(usize, u64, RunName, OrderReply),
+    Stopped(usize, u64, RunName, OrderReply),
+    Held(usize, u64, HoldReply),
+    Again(JobNumber),
+    Return(Node),
+}
+
+struct SchedulerNode {
+    scheduler: Scheduler,
+    up: bool,
+    life: u64,
+    skew: u64,
+    frozen_until: u64,
+}
+
+struct ExecutorNode {
+    executor: Executor,
+    up: bool,
+    life: u64,
+    skew: u64,
+    frozen_until: u64,
+}
+
+/// The world.
+pub struct World {
+    /// The time, in microseconds.
+    pub now: u64,
+    /// Its luck.
+    pub rng: ChaCha8Rng,
+    /// What workers and callers saw.
+    pub witness: Witness,
+    /// The callers.
+    pub callers: Callers,
+    /// The workers.
+    pub workers: Vec<WorkerModel>,
+    /// The links.
+    pub network: Network,
+    /// The share of orders to workers that get no answer and are carried out late.
+    pub late: f64,
+    /// The share of answers of workers that are lost.
+    pub lost: f64,
+    /// Inputs given to the state machines.
+    pub steps: u64,
+    /// Whether log lines and what happens at the workers are printed.
+    pub trace: bool,
+    schedulers: Vec<SchedulerNode>,
+    executors: Vec<ExecutorNode>,
+    due: BTreeMap<(u64, u64), Due>,
+    sequence: u64,
+    lives: u64,
+}
+
+impl World {
+    /// A world in which everything has just come up.
+    pub fn new(seed: u64, schedulers: usize, executors: usize) -> World {
+        let mut world = World {
+            now: 10_000_000,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            witness: Witness::default(),
+            callers: Callers::default(),
+            workers: Vec::new(),
+            network: Network::default(),
+            late: 0.0,
+            lost: 0.0,
+            steps: 0,
+            trace: false,
+            schedulers: Vec::new(),
+            executors: Vec::new(),
+            due: BTreeMap::new(),
+            sequence: 0,
+            lives: 0,
+        };
+        for number in 0..executors {
+            let worker = world.new_worker();
+            world.workers.push(worker);
+            let node = world.new_executor(number);
+            world.executors.push(node);
+        }
+        for number in 0..schedulers {
+            let node = world.new_scheduler(number);
+            world.schedulers.push(node);
+        }
+        for node in world.nodes() {
+            world.begin(node);
+        }
+        for number in 0..executors {
+            world.at(1000, Due::Beat(number));
+        }
+        world
+    }
+
+    fn nodes(&self) -> Vec<Node> {
+        let schedulers = (0..self.schedulers.len()).map(Node::Scheduler);
+        let executors = (0..self.executors.len()).map(Node::Executor);
+        schedulers.chain(executors).collect()
+    }
+
+    fn new_life(&mut self) -> u64 {
+        self.lives += 1;
+        self.lives
+    }
+
+    fn new_worker(&mut self) -> WorkerModel {
+        let life = self.new_life();
+        WorkerModel::new(format!("w{life}"), CAPACITY)
+    }
+
+    fn new_executor(&mut self, number: usize) -> ExecutorNode {
+        let life = self.new_life();
+        let setup = ExecutorSetup {
+            name: format!("executor-{number}"),
+            zone: "z".to_owned(),
+            incarnation: life,
+            fence: life * 1000,
+            lease: Duration::from_millis(700),
+            worker_hold: Duration::from_millis(1000),
+        };
+        ExecutorNode {
+            executor: Executor::new(setup),
+            up: true,
+            life,
+            skew: self.rng.random_range(0..1_000_000_000),
+            frozen_until: 0,
+        }
+    }
+
+    fn new_scheduler(&mut self, number: usize) -> SchedulerNode {
+        let life = self.new_life();
+        let skew = self.rng.random_range(0..1_000_000_000);
+        let setup = SchedulerSetup {
+            name: format!("scheduler-{number}"),
+            zone: "z".to_owned(),
+            address: format!("s:{number}"),
+            incarnation: life,
+            silence: Duration::from_millis(700),
+            lapse: Duration::from_millis(1300),
+            started: Mono(self.now + skew),
+            seed: life,
+        };
+        let mut scheduler = Scheduler::new(setup);
+        scheduler.set_catalog(Mono(self.now + skew), callers::catalog(1));
+        SchedulerNode {
+            scheduler,
+            up: true,
+            life,
+            skew,
+            frozen_until: 0,
+        }
+    }
+
+    /// A process begins to tick, and to connect to the schedulers.
+    fn begin(&mut self, node: Node) {
+        let life = self.life(node);
+        self.at(100, Due::Tick(node, life));
+        for number in 0..self.schedulers.len() {
+            let to = Node::Scheduler(number);
+            if to != node {
+                let wait = self.rng.random_range(0..20_000);
+                self.at(wait, Due::Dial(node, to, life));
+            }
+        }
+    }
+
+    fn at(&mut self, wait: u64, due: Due) {
+        self.sequence += 1;
+        self.due.insert((self.now + wait, self.sequence), due);
+    }
+
+    fn life(&self, node: Node) -> u64 {
+        match node {
+            Node::Scheduler(n) => self.schedulers[n].life,
+            Node::Executor(n) => self.executors[n].life,
+        }
+    }
+
+    fn is_up(&self, node: Node) -> bool {
+        match node {
+            Node::Scheduler(n) => self.schedulers[n].up,
+            Node::Executor(n) => self.executors[n].up,
+        }
+    }
+
+    fn frozen_until(&self, node: Node) -> u64 {
+        match node {
+            Node::Scheduler(n) => self.schedulers[n].frozen_until,
+            Node::Executor(n) => self.executors[n].frozen_until,
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span.as_micros() as u64;
+        while self.witness.violation.is_none() {
+            let Some(entry) = self.due.first_entry() else {
+                break;
+            };
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let due = entry.remove();
+            self.advance_workers(at);
+            self.now = self.now.max(at);
+            self.step(due);
+        }
+        self.now = self.now.max(end);
+    }
+
+    /// Ends runs at workers that are over by then.
+    fn advance_workers(&mut self, at: u64) {
+        for number in 0..self.workers.len() {
+            if !self.workers[number].up {
+                continue;
+            }
+            for (run, end) in self.workers[number].advance(at) {
+                let line = format!("worker: end {run:?} {end:?}");
+                self.print(Node::Executor(number), &line);
+                self.note_end(run, end);
+            }
+        }
+    }
+
+    fn note_end(&mut self, run: RunName, end: WorkerEnd) {
+        let Some(job) = self.witness.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        match end {
+            WorkerEnd::Done => {
+                job.done.insert(run.task.index);
+            }
+            WorkerEnd::Failed => *job.failed.entry(run.task.index).or_default() += 1,
+            WorkerEnd::Stopped | WorkerEnd::Lapsed => {}
+        }
+    }
+
+    fn step(&mut self, due: Due) {
+        let node = match &due {
+            Due::Tick(node, _) | Due::Deliver(_, node, _) | Due::Closed(_, node) => Some(*node),
+            Due::Started(n, ..) | Due::Stopped(n, ..) | Due::Held(n, ..) => {
+                Some(Node::Executor(*n))
+            }
+            _ => None,
+        };
+        if let Some(node) = node {
+            let until = self.frozen_until(node);
+            if until > self.now {
+                let wait = until - self.now;
+                return self.at(wait, due);
+            }
+        }
+        self.steps += 1;
+        match due {
+            Due::Tick(node, life) => self.tick(node, life),
+            Due::Deliver(link, node, body) => self.deliver(link, node, body),
+            Due::Closed(link, node) => self.closed(link, node),
+            Due::Dial(from, to, life) => self.dial(from, to, life),
+            Due::Beat(number) => self.beat(number),
+            Due::Start(n, life, call, late) => self.start(n, life, &call, late),
+            Due::Stop(n, life, worker, run, fence, late) => {
+                self.stop(n, life, &worker, run, fence, late);
+            }
+            Due::Hold(n, life, call, until) => self.hold(n, life, call, until),
+            Due::Started(n, life, run, reply) => {
+                self.with_executor(n, life, |e, now| e.started(now, run, reply));
+            }
+            Due::Stopped(n, life, run, reply) => {
+                self.with_executor(n, life, |e, now| e.stopped(now, run, reply));
+            }
+            Due::Held(n, life, reply) => self.with_executor(n, life, |e, now| e.held(now, reply)),
+            Due::Again(number) => self.hand_in_again(number),
+            Due::Return(node) => self.come_back(node),
+        }
+    }
+
+    fn tick(&mut self, node: Node, life: u64) {
+        if self.life(node) != life || !self.is_up(node) {
+            return;
+        }
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.tick(now)),
+            Node::Executor(n) => self.with_executor(n, life, |e, now| e.tick(now)),
+        }
+        self.at(TICK_US, Due::Tick(node, life));
+    }
+
+    /// Gives a scheduler something to do.
+    pub fn with_scheduler(&mut self, n: usize, work: impl FnOnce(&mut Scheduler, Mono)) {
+        let node = &mut self.schedulers[n];
+        if !node.up {
+            return;
+        }
+        work(&mut node.scheduler, Mono(self.now + node.skew));
+        let actions = node.scheduler.take_actions();
+        for action in actions {
+            match action {
+                scheduler::Action::Send(link, body) => self.send(Node::Scheduler(n), link, *body),
+                scheduler::Action::Close(link) => self.close(Node::Scheduler(n), link),
+                scheduler::Action::Answer(caller, outcome) => self.answer(caller, outcome),
+                scheduler::Action::Log(event) => self.print(Node::Scheduler(n), &event.to_string()),
+                scheduler::Action::Dial(_) => {}
+            }
+        }
+    }
+
+    fn with_executor(&mut self, n: usize, life: u64, work: impl FnOnce(&mut Executor, Mono)) {
+        let node = &mut self.executors[n];
+        if !node.up || node.life != life {
+            return;
+        }
+        work(&mut node.executor, Mono(self.now + node.skew));
+        let actions = node.executor.take_actions();
+        for action in actions {
+            match action {
+                executor::Action::Send(link, body) => self.send(Node::Executor(n), link, body),
+                executor::Action::Close(link) => self.close(Node::Executor(n), link),
+                executor::Action::Start(call) => {
+                    let (wait, late) = self.order_delay();
+                    self.at(wait, Due::Start(n, life, call, late));
+                }
+                executor::Action::Stop(worker, run, fence) => {
+                    let (wait, late) = self.order_delay();
+                    self.at(wait, Due::Stop(n, life, worker, run, fence, late));
+                }
+                executor::Action::Hold(call) => {
+                    let until = self.now + call.wait.as_micros() as u64;
+                    self.at(200, Due::Hold(n, life, call, until));
+                }
+                executor::Action::Log(event) => self.print(Node::Executor(n), &event.to_string()),
+                executor::Action::Dial(_) => {}
+            }
+        }
+    }
+
+    /// How long an order takes to the worker, and whether it counts as carried out late.
+    fn order_delay(&mut self) -> (u64, bool) {
+        if self.rng.random_bool(self.late) {
+            (self.rng.random_range(2_000_000..12_000_000), true)
+        } else {
+            (self.rng.random_range(100..800), false)
+        }
+    }
+
+    /// Prints a line if the world is traced.
+    pub fn print(&self, node: Node, text: &str) {
+        if self.trace {
+            println!("{:>12} {node:?} {text}", self.now);
+        }
+    }
+
+    fn start(&mut self, n: usize, life: u64, call: &StartCall, late: bool) {
+        let task = call.run.task;
+        let Some(job) = self.callers.jobs.get(&task.job) else {
+            return self.witness.break_promise(format!("{task}: nobody's job"));
+        };
+        let (work_us, poison) = (job.work_us, job.poison);
+        let cpu = self.witness.jobs[&task.job].cpu;
+        let reply = if self.workers[n].up {
+            let now = self.now;
+            let (reply, begun) = self.workers[n].start(now, call, work_us, poison);
+            self.print(Node::Executor(n), &format!("worker: start {:?} {reply:?}", call.run));
+            if begun {
+                self.note_start(n, call.run, cpu);
+            }
+            reply
+        } else {
+            OrderReply::Unreachable
+        };
+        if late {
+            // The caller of a late order was told long ago that there is no answer.
+            return;
+        }
+        let (wait, reply) = self.reply_delay(reply);
+        self.at(wait, Due::Started(n, life, call.run, reply));
+    }
+
+    fn note_start(&mut self, n: usize, run: RunName, _cpu: u32) {
+        let others = (0..self.workers.len()).filter(|m| *m != n);
+        let runs_at = |m: usize| self.workers[m].up && self.workers[m].running.contains_key(&run.task);
+        let elsewhere = others.into_iter().any(runs_at);
+        let jobs = &self.witness.jobs;
+        let cpu_of = |t: &stackcourse_lib::dispatch::model::TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
+        let taken = self.workers[n].running.keys().map(cpu_of).sum();
+        self.witness.started(run.task, elsewhere, taken, CAPACITY);
+    }
+
+    fn stop(&mut self, n: usize, life: u64, worker: &str, run: RunName, fence: u64, late: bool) {
+        let now = self.now;
+        let reply = if self.workers[n].up {
+            self.workers[n].stop(now, worker, run, fence)
+        } else {
+            OrderReply::Unreachable
+        };
+        if late {
+            return;
+        }
+        let (wait, reply) = self.reply_delay(reply);
+        self.at(wait, Due::Stopped(n, life, run, reply));
+    }
+
+    /// How long a reply takes, and the reply as it arrives.
+    fn reply_delay(&mut self, reply: OrderReply) -> (u64, OrderReply) {
+        if self.rng.random_bool(self.lost) {
+            (250_000, OrderReply::NoAnswer)
+        } else {
+            (self.rng.random_range(100..800), reply)
+        }
+    }
+
+    fn hold(&mut self, n: usize, life: u64, call: HoldCall, until: u64) {
+        if !self.workers[n].up {
+            return self.at(1000, Due::Held(n, life, HoldReply::Unreachable));
+        }
+        let now = self.now;
+        let first = self.workers[n].hold(now, &call);
+        let lists = matches!(first, HoldReply::Lists { .. });
+        if lists && now < until && !self.workers[n].has_news(call.seen) {
+            return self.at(POLL_US, Due::Hold(n, life, call, until));
+        }
+        let lost = self.rng.random_bool(self.lost);
+        let (wait, reply) = if lost {
+            (350_000, HoldReply::NoAnswer)
+        } else {
+            (self.rng.random_range(100..800), first)
+        };
+        self.at(wait, Due::Held(n, life, reply));
+    }
+
+    fn beat(&mut self, number: usize) {
+        self.at(BEAT_US, Due::Beat(number));
+        let worker = &self.workers[number];
+        let node = &self.executors[number];
+        if !worker.up || !node.up || node.frozen_until > self.now {
+            return;
+        }
+        let beat = WorkerBeat {
+            life: worker.life.clone(),
+            service: SERVICE.to_owned(),
+            draining: worker.draining,
+            capacity: Demand {
+                cpu_milli: worker.capacity,
+                memory_mb: 65_536,
+                gpu: 0,
+            },
+            labels: Vec::new(),
+            sequence: self.now,
+        };
+        let life = node.life;
+        self.with_executor(number, life, |e, now| e.beat(now, beat));
+    }
+
+    fn send(&mut self, from: Node, link: LinkId, body: Body) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let (to, way) = wire.other(from);
+        if wire.closed != [false; 2] {
+            return;
+        }
+        if self.network.cuts.contains(&(from, to)) || !wire.held[way].is_empty() {
+            wire.held[way].push(body);
+            return;
+        }
+        let arrives = (self.now + self.rng.random_range(300..1500)).max(wire.last[way] + 1);
+        wire.last[way] = arrives;
+        let wait = arrives - self.now;
+        self.at(wait, Due::Deliver(link, to, body));
+    }
+
+    fn deliver(&mut self, link: LinkId, node: Node, body: Body) {
+        let open = |w: &crate::dispatch::network::Wire| !w.closed[w.end(node)];
+        if !self.network.wires.get(&link).is_some_and(open) {
+            return;
+        }
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.message(now, link, body)),
+            Node::Executor(n) => {
+                if let Body::Orders(orders) = body {
+                    let life = self.life(node);
+                    self.with_executor(n, life, |e, now| e.orders(now, link, orders));
+                }
+            }
+        }
+    }
+
+    /// A process closes a link; the other end hears of it unless it is cut off.
+    fn close(&mut self, node: Node, link: LinkId) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let (other, _) = wire.other(node);
+        let end = wire.end(node);
+        wire.closed[end] = true;
+        if self.network.passes(node, other) {
+            self.at(800, Due::Closed(link, other));
+        }
+    }
+
+    fn closed(&mut self, link: LinkId, node: Node) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let end = wire.end(node);
+        if std::mem::replace(&mut wire.closed[end], true) {
+            return;
+        }
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_down(now, link)),
+            Node::Executor(n) => {
+                let life = self.life(node);
+                self.with_executor(n, life, |e, _| e.link_down(link));
+            }
+        }
+    }
+
+    fn dial(&mut self, from: Node, to: Node, life: u64) {
+        if self.life(from) != life || !self.is_up(from) {
+            return;
+        }
+        let wait = self.rng.random_range(40_000..200_000);
+        self.at(wait, Due::Dial(from, to, life));
+        let awake = self.frozen_until(from) <= self.now && self.frozen_until(to) <= self.now;
+        let reachable = self.network.passes(from, to) && self.network.passes(to, from);
+        if !awake || !reachable || !self.is_up(to) || self.network.joined(from, to) {
+            return;
+        }
+        let link = self.network.open(from, to);
+        self.link_up(from, to, link);
+        self.link_up(to, from, link);
+    }
+
+    fn link_up(&mut self, node: Node, other: Node, link: LinkId) {
+        let theirs = match other {
+            Node::Scheduler(n) => self.schedulers[n].scheduler.greeting(),
+            Node::Executor(n) => self.executors[n].executor.greeting(),
+        };
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_up(now, link, &theirs)),
+            Node::Executor(n) => {
+                let life = self.life(node);
+                self.with_executor(n, life, |e, now| e.link_up(now, link, &theirs));
+            }
+        }
+    }
+
+    /// Hands a job in at a scheduler.
+    pub fn hand_in(&mut self, number: JobNumber, scheduler: usize) {
+        let caller = self.callers.caller_for(number);
+        let Some(job) = self.callers.jobs.get_mut(&number) else {
+            return;
+        };
+        job.tries += 1;
+        let request = job.request.clone();
+        if let Some(seen) = self.witness.jobs.get_mut(&number) {
+            seen.handed_in += 1;
+        }
+        self.at(AGAIN_US, Due::Again(number));
+        let node = &self.schedulers[scheduler];
+        if node.up && node.frozen_until <= self.now {
+            self.with_scheduler(scheduler, |s, now| s.submit(now, caller, request));
+        }
+    }
+
+    fn hand_in_again(&mut self, number: JobNumber) {
+        let open = self.callers.jobs.get(&number);
+        if !open.is_some_and(|j| !j.settled && j.tries < 3) {
+            return;
+        }
+        let scheduler = self.rng.random_range(0..self.schedulers.len());
+        self.hand_in(number, scheduler);
+    }
+
+    fn answer(&mut self, caller: CallerId, outcome: JobOutcome) {
+        let Some(number) = self.callers.waiting.remove(&caller) else {
+            return;
+        };
+        self.witness.answered(number, outcome);
+        if outcome != JobOutcome::Unknown
+            && let Some(job) = self.callers.jobs.get_mut(&number)
+        {
+            job.settled = true;
+        }
+    }
+
+    /// Kills a process; `silent` says that nobody hears of it. It comes back after `away`.
+    pub fn kill(&mut self, node: Node, silent: bool, away: u64) {
+        match node {
+            Node::Scheduler(n) => self.schedulers[n].up = false,
+            Node::Executor(n) => self.executors[n].up = false,
+        }
+        for link in self.network.links_of(node) {
+            if silent {
+                let wire = self.network.wires.get_mut(&link).expect("it was listed");
+                let end = wire.end(node);
+                wire.closed[end] = true;
+            } else {
+                self.close(node, link);
+            }
+        }
+        self.at(away, Due::Return(node));
+    }
+
+    fn come_back(&mut self, node: Node) {
+        for link in self.network.links_of(node) {
+            self.close(node, link);
+        }
+        // Whoever still holds an end of an old link hears that nobody is there.
+        let old: Vec<(LinkId, Node)> = self
+            .network
+            .wires
+            .iter()
+            .filter(|(_, w)| w.from == node || w.to == node)
+            .map(|(link, w)| (*link, w.other(node).0))
+            .collect();
+        for (link, other) in old {
+            self.at(500, Due::Closed(link, other));
+        }
+        match node {
+            Node::Scheduler(n) => self.schedulers[n] = self.new_scheduler(n),
+            Node::Executor(n) => self.executors[n] = self.new_executor(n),
+        }
+        self.begin(node);
+    }
+
+    /// Freezes a process.
+    pub fn freeze(&mut self, node: Node, span: u64) {
+        let until = self.now + span;
+        match node {
+            Node::Scheduler(n) => self.schedulers[n].frozen_until = until,
+            Node::Executor(n) => self.executors[n].frozen_until = until,
+        }
+    }
+
+    /// Cuts a direction.
+    pub fn cut(&mut self, from: Node, to: Node) {
+        self.network.cuts.insert((from, to));
+    }
+
+    /// Heals all cuts; what they held up goes on.
+    pub fn heal(&mut self) {
+        self.network.cuts.clear();
+        let links: Vec<LinkId> = self.network.wires.keys().copied().collect();
+        for link in links {
+            for way in 0..2 {
+                let wire = self.network.wires.get_mut(&link).expect("it was listed");
+                let held = std::mem::take(&mut wire.held[way]);
+                let from = if way == 0 { wire.from } else { wire.to };
+                for body in held {
+                    self.send(from, link, body);
+                }
+            }
+            let wire = &self.network.wires[&link];
+            if wire.closed[0] != wire.closed[1] {
+                let open = if wire.closed[0] { wire.to } else { wire.from };
+                self.at(500, Due::Closed(link, open));
+            }
+        }
+        self.network.wires.retain(|_, w| w.closed != [true; 2]);
+    }
+
+    /// Resets the links of a process.
+    pub fn reset(&mut self, node: Node) {
+        for link in self.network.links_of(node) {
+            let wire = &self.network.wires[&link];
+            let (from, to) = (wire.from, wire.to);
+            self.at(100, Due::Closed(link, from));
+            self.at(100, Due::Closed(link, to));
+        }
+    }
+
+    /// A worker crashes; another life of it comes up at once or later.
+    pub fn crash_worker(&mut self, number: usize) {
+        self.workers[number].up = false;
+        self.workers[number].running.clear();
+    }
+
+    /// A worker that had crashed is up again, in a new life.
+    pub fn raise_worker(&mut self, number: usize) {
+        if !self.workers[number].up {
+            self.workers[number] = self.new_worker();
+        }
+    }
+
+    /// How many schedulers and executors there are.
+    pub fn size(&self) -> (usize, usize) {
+        (self.schedulers.len(), self.executors.len())
+    }
+
+    /// Whether a process is up.
+    pub fn is_node_up(&self, node: Node) -> bool {
+        self.is_up(node)
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,7 @@
 //! real processes, and the tools that measure it.
 
 pub mod cluster;
+pub mod dispatch;
 pub mod fault_proxy;
 pub mod load;
 pub mod random_run;
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -1,3 +1,4 @@
 //! The randomised runs, with fixed seeds.
 
+mod test_dispatch_run;
 mod test_random_run;
