scheduler: begun jobs go first, at most one stands half placed

After the power loss at the end a restarted entry claimed each job for 3 s and waited for the slowest executor.

Change: jobs that have begun are placed before fresh ones, and a fresh job that does not fit whole ends the round; a forerunner's runs are held to be over 1.3 s after the start.

--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -72,6 +72,8 @@
     pub ran_elsewhere: bool,
     /// Whether it was held here before, and ended after something of it had been started.
     pub renewed: bool,
+    /// Whether it is claimed only because this scheduler has just started.
+    pub claimed_young: bool,
     /// When it was last known that no other scheduler has it.
     pub safe_since: Mono,
     /// When its caller's objective ends.
@@ -118,6 +120,7 @@
             began: false,
             ran_elsewhere: false,
             renewed: false,
+            claimed_young: false,
             safe_since: now,
             objective_at: now + objective.saturating_sub(TRAVEL),
             useless_at,
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Whether tasks of it are to be placed.
+    pub fn is_waiting(&self) -> bool {
+        self.tasks.iter().any(|t| t.state == TaskState::Ready)
+    }
+
     /// Whether tasks of it are placed.
     pub fn is_out(&self) -> bool {
         let out = |t: &Task| matches!(t.state, TaskState::Placed(_));
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -24,7 +24,7 @@
 /// A job that was handed in at a peer so long ago has been announced if the peer was heard since.
 const UNANNOUNCED: Duration = Duration::from_millis(1200);
 /// A scheduler that has started within this time may have had jobs in its life before.
-const YOUNG: Duration = Duration::from_secs(3);
+const YOUNG: Duration = Duration::from_millis(1300);
 
 /// A peer that has not been heard for so long is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(30);
@@ -441,9 +441,14 @@
             self.count_cause("unclaimable");
             return self.end_job(number, JobOutcome::Unknown, "unclaimable");
         }
+        // Nobody else is known to have the job: only a forerunner of this scheduler may have.
+        let young = self.now.since(self.setup.started) < YOUNG
+            && !self.announced.contains_key(&number)
+            && !self.ended.contains_key(&number);
         if let Some(job) = self.jobs.get_mut(&number) {
             job.phase = Phase::Claiming(Vec::new());
             job.ran_elsewhere = true;
+            job.claimed_young = young;
         }
         let asked: Vec<ExecutorKey> = self.executors.keys().collect();
         for key in &asked {
@@ -488,6 +493,8 @@
             return;
         }
         let all = self.must_reach_all();
+        // What a forerunner of this scheduler had started is over by now, asked about or not.
+        let grown = now.since(self.setup.started) >= YOUNG;
         for number in self.claiming() {
             let executors = &self.executors;
             let may_run = |e: &ExecutorView| all || e.link.is_some() || now.since(e.heard) < lapse;
@@ -495,8 +502,9 @@
             let Some(job) = self.jobs.get_mut(&number) else {
                 continue;
             };
+            let over = grown && job.claimed_young;
             if let Phase::Claiming(asked) = &job.phase
-                && !asked.iter().any(open)
+                && (over || !asked.iter().any(open))
             {
                 job.phase = Phase::Active;
                 job.safe_since = now;
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -13,10 +13,13 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
-/// Jobs that can still meet their objective.
-const ON_TIME: u8 = 0;
-/// Jobs that began and will be late.
-const LATE: u8 = 1;
+/// Jobs that have begun and can still meet their objective. They go first: what they have used is
+/// lost if they are not finished, and so at most one job at a time stands half placed.
+const BEGUN: u8 = 0;
+/// Jobs that have not begun.
+const FRESH: u8 = 1;
+/// Jobs that have begun and will be late.
+const LATE: u8 = 2;
 /// Jobs looked at in one round of placing, so that a long queue costs little.
 const LOOK: usize = 24;
 /// A worker that takes this many times as long as the others gets tasks on trial only.
@@ -40,7 +43,11 @@
             Phase::Claiming(_) => None,
         };
         let place = latest.map(|at| {
-            let class = if at >= now { ON_TIME } else { LATE };
+            let class = match (job.began, at >= now) {
+                (true, true) => BEGUN,
+                (true, false) => LATE,
+                (false, _) => FRESH,
+            };
             (class, at)
         });
         if place == job.place {
@@ -60,16 +67,21 @@
         if self.waiting.is_empty() {
             return;
         }
-        let numbers: Vec<JobNumber> = self.waiting.iter().take(LOOK).map(|w| w.2).collect();
+        let numbers: Vec<(u8, JobNumber)> =
+            self.waiting.iter().take(LOOK).map(|w| (w.0, w.2)).collect();
         let median = self.median_pace();
         self.note_gap();
-        for number in numbers {
+        for (class, number) in numbers {
             if self.jobs.get(&number).is_some_and(|j| self.is_exposed(j)) {
                 self.claim(number);
                 self.queue_job(number);
                 continue;
             }
             self.place_job(number, median);
+            let whole = !self.jobs.get(&number).is_some_and(Job::is_waiting);
+            if class == FRESH && !whole {
+                break;
+            }
         }
     }
 
@@ -229,10 +241,8 @@
         for number in useless {
             self.give_up(number, "too-late");
         }
-        let passed = self.waiting.iter().filter(|(c, at, _)| {
-            let on_time = *c == ON_TIME;
-            on_time && *at <= now
-        });
+        let passed = self.waiting.iter();
+        let passed = passed.filter(|(class, at, _)| *class != LATE && *at <= now);
         let passed: Vec<JobNumber> = passed.map(|w| w.2).collect();
         for number in passed {
             self.objective_passed(number);
