scheduler: late jobs with much left are given up soon; a pause is not others' silence

Change: a late job of which over a quarter waits is given up after 60 ms, with less left it goes before fresh jobs; silence counts from the end of a pause.

--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -98,6 +98,8 @@
 const MEMORY: Duration = Duration::from_secs(20);
 /// Heartbeats on links are this far apart.
 const HEARTBEAT: Duration = Duration::from_millis(100);
+/// A process that has not run for this long was paused.
+const PAUSE: Duration = Duration::from_millis(250);
 /// Members are told to every link this often.
 const MEMBERS: Duration = Duration::from_millis(1000);
 
@@ -134,6 +136,8 @@
     counts: SchedulerCounts,
     actions: Vec<Action>,
     now: Mono,
+    /// Since when this process has run without a pause.
+    awake_since: Mono,
 }
 
 impl Scheduler {
@@ -160,9 +164,25 @@
             counts: SchedulerCounts::default(),
             actions: Vec::new(),
             now: Mono::default(),
+            awake_since: Mono::default(),
         }
     }
 
+    /// Takes note of the time. After a pause of this process others seem to have been silent that
+    /// only were not listened to.
+    fn enter(&mut self, now: Mono) {
+        if now.since(self.now) >= PAUSE {
+            self.awake_since = now;
+        }
+        self.now = now;
+    }
+
+    /// For how long nothing was heard from somebody who was last heard then, while this process
+    /// listened.
+    fn silence(&self, heard: Mono) -> Duration {
+        self.now.since(heard.max(self.awake_since))
+    }
+
     /// Takes what is to be done.
     pub fn take_actions(&mut self) -> Vec<Action> {
         self.flush();
@@ -186,7 +206,7 @@
 
     /// Puts a catalog in force, unless a newer one is.
     pub fn set_catalog(&mut self, now: Mono, catalog: Catalog) {
-        self.now = now;
+        self.enter(now);
         if self.catalog.is_some() && catalog.version <= self.version() {
             return;
         }
@@ -222,7 +242,7 @@
 
     /// Begins to leave: not ready any more, though what still comes is served.
     pub fn leave(&mut self, now: Mono) {
-        self.now = now;
+        self.enter(now);
         self.leaving = true;
         self.log(Kind::Leaving, self.setup.name.clone());
     }
@@ -234,7 +254,7 @@
 
     /// Gives up all that is held, so that every caller has an answer.
     pub fn abandon(&mut self, now: Mono) {
-        self.now = now;
+        self.enter(now);
         let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
         for number in numbers {
             self.give_up(number, "leaving");
@@ -249,7 +269,7 @@
 
     /// Passing time.
     pub fn tick(&mut self, now: Mono) {
-        self.now = now;
+        self.enter(now);
         self.expire_jobs();
         self.watch_executors();
         self.watch_peers();
@@ -266,7 +286,7 @@
 
     /// Names members that were learned elsewhere.
     pub fn add_members(&mut self, now: Mono, members: Vec<proto::Member>) {
-        self.now = now;
+        self.enter(now);
         let mut fresh = Vec::new();
         for member in members {
             let own = member.name == self.setup.name || member.address == self.setup.address;
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -159,7 +159,7 @@
         executor.zone.clone_from(&greeting.zone);
         if renewed {
             executor.seen_ends = 0;
-            executor.renewed = Some(executor.heard + self.setup.lapse);
+            executor.renewed = Some(now + self.setup.lapse);
         }
         if let Some(old) = executor.link.replace(link) {
             self.actions.push(Action::Close(old));
@@ -276,11 +276,10 @@
 
     /// Closes silent links, and gives up the tasks of executors that are gone.
     pub(super) fn watch_executors(&mut self) {
-        let now = self.now;
         let keys: Vec<ExecutorKey> = self.executors.keys().collect();
         for key in keys {
+            let silent = self.silence(self.executors[key].heard);
             let executor = &mut self.executors[key];
-            let silent = now.since(executor.heard);
             if silent >= self.setup.silence
                 && let Some(link) = executor.link
             {
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// The share of its tasks that are to be placed.
+    pub fn waiting_share(&self) -> f64 {
+        let ready = |t: &&Task| t.state == TaskState::Ready;
+        self.tasks.iter().filter(ready).count() as f64 / self.tasks.len() as f64
+    }
+
     /// Whether tasks of it are to be placed.
     pub fn is_waiting(&self) -> bool {
         self.tasks.iter().any(|t| t.state == TaskState::Ready)
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -55,7 +55,7 @@
 impl Scheduler {
     /// A link is up.
     pub fn link_up(&mut self, now: Mono, link: LinkId, greeting: &proto::Greeting) {
-        self.now = now;
+        self.enter(now);
         if greeting.executor {
             self.executor_up(link, greeting);
         } else {
@@ -65,7 +65,7 @@
 
     /// A link is down.
     pub fn link_down(&mut self, now: Mono, link: LinkId) {
-        self.now = now;
+        self.enter(now);
         if let Some(key) = self.executor_of(link) {
             self.executor_down(key);
         } else if let Some(name) = self.peer_of(link) {
@@ -75,7 +75,7 @@
 
     /// A message has come in.
     pub fn message(&mut self, now: Mono, link: LinkId, body: proto::frame::Body) {
-        self.now = now;
+        self.enter(now);
         match body {
             proto::frame::Body::Update(update) => {
                 if let Some(key) = self.executor_of(link) {
@@ -253,6 +253,12 @@
         if outcome == JobOutcome::Unknown {
             return self.follow_elsewhere(name, number);
         }
+        let began = self.ended.get(&number).is_some_and(|e| e.began);
+        let outcome = match outcome {
+            // What the peer refuses may have been begun here before it went there.
+            JobOutcome::Refused(_) if began => JobOutcome::GivenUp,
+            other => other,
+        };
         if let Some(following) = self.following.remove(&number) {
             self.remember(number, outcome, false);
             for caller in following.callers {
@@ -337,7 +343,7 @@
     pub(super) fn watch_peers(&mut self) {
         let now = self.now;
         let bound = self.setup.silence;
-        let silent = |p: &Peer| p.link.is_some() && now.since(p.heard) >= bound;
+        let silent = |p: &Peer| p.link.is_some() && self.silence(p.heard) >= bound;
         let names = self.peers.iter().filter(|(_, p)| silent(p));
         let names: Vec<String> = names.map(|(n, _)| n.clone()).collect();
         self.peers
@@ -417,8 +423,8 @@
     /// to connect here.
     fn peers_settled(&self) -> bool {
         let (now, lapse) = (self.now, self.setup.lapse);
-        let settled = |p: &Peer| p.link.is_some() || now.since(p.heard) >= lapse;
-        let heard = |name: &String| now.since(self.last_heard(name)) >= lapse;
+        let settled = |p: &Peer| p.link.is_some() || self.silence(p.heard) >= lapse;
+        let heard = |name: &String| self.silence(self.last_heard(name)) >= lapse;
         now.since(self.setup.started) >= MEETING
             && self.peers.values().all(settled)
             && self.doubtful().iter().all(heard)
@@ -493,11 +499,13 @@
             return;
         }
         let all = self.must_reach_all();
+        let awake_since = self.awake_since;
         // What a forerunner of this scheduler had started is over by now, asked about or not.
         let grown = now.since(self.setup.started) >= YOUNG;
         for number in self.claiming() {
             let executors = &self.executors;
-            let may_run = |e: &ExecutorView| all || e.link.is_some() || now.since(e.heard) < lapse;
+            let silence = |heard: Mono| now.since(heard.max(awake_since));
+            let may_run = |e: &ExecutorView| all || e.link.is_some() || silence(e.heard) < lapse;
             let open = |key: &ExecutorKey| executors.get(*key).is_some_and(may_run);
             let Some(job) = self.jobs.get_mut(&number) else {
                 continue;
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -20,6 +20,11 @@
 const FRESH: u8 = 1;
 /// Jobs that have begun and will be late.
 const LATE: u8 = 2;
+/// A late job of which no more than this share waits is finished before others begin: it is worth
+/// a fifth of what it was.
+const WORTH_FINISHING: f64 = 0.25;
+/// A late job of which more waits is given up after this long.
+const LATE_WAIT: Duration = Duration::from_millis(60);
 /// Jobs looked at in one round of placing, so that a long queue costs little.
 const LOOK: usize = 24;
 /// A worker that takes this many times as long as the others gets tasks on trial only.
@@ -45,6 +50,7 @@
         let place = latest.map(|at| {
             let class = match (job.began, at >= now) {
                 (true, true) => BEGUN,
+                (true, false) if job.waiting_share() <= WORTH_FINISHING => BEGUN,
                 (true, false) => LATE,
                 (false, _) => FRESH,
             };
@@ -247,6 +253,22 @@
         for number in passed {
             self.objective_passed(number);
         }
+        self.drop_late();
+    }
+
+    /// Gives up late jobs that wait for room and have much left to do: what is left of them keeps
+    /// others from being in time.
+    fn drop_late(&mut self) {
+        let bound = self.now - LATE_WAIT;
+        let late = self.waiting.iter();
+        let late = late.filter(|(class, at, _)| *class == LATE && *at <= bound);
+        let late: Vec<JobNumber> = late.map(|w| w.2).collect();
+        for number in late {
+            let much = |j: &Job| j.waiting_share() > WORTH_FINISHING;
+            if self.jobs.get(&number).is_some_and(much) {
+                self.give_up(number, "late-and-waiting");
+            }
+        }
     }
 
     /// A job can't meet its objective any more.
@@ -254,7 +276,7 @@
         let Some(job) = self.jobs.get(&number) else {
             return;
         };
-        if job.is_out() || job.has_done() {
+        if job.began {
             self.queue_job(number);
         } else {
             self.give_up(number, "no-room");
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -20,7 +20,7 @@
 impl Scheduler {
     /// A job is handed in. The caller hears of its end by [`Action::Answer`].
     pub fn submit(&mut self, now: Mono, caller: CallerId, request: JobRequest) {
-        self.now = now;
+        self.enter(now);
         self.counts.submitted += 1;
         let number = request.number;
         if let Some(job) = self.jobs.get_mut(&number) {
@@ -103,7 +103,7 @@
 
     /// A caller has left. A job that nobody waits for is cancelled.
     pub fn caller_left(&mut self, now: Mono, caller: CallerId, number: JobNumber) {
-        self.now = now;
+        self.enter(now);
         if let Some(following) = self.following.get_mut(&number) {
             following.callers.retain(|c| *c != caller);
             if following.callers.is_empty() {
@@ -123,7 +123,7 @@
 
     /// Cancels a job; whether it is known.
     pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
-        self.now = now;
+        self.enter(now);
         if self.jobs.contains_key(&number) {
             self.end_job(number, JobOutcome::Cancelled, "cancelled");
             self.place();
@@ -191,7 +191,7 @@
 
     /// Gives up a job: refused if nothing of it was started, else given up.
     pub(super) fn give_up(&mut self, number: JobNumber, cause: &'static str) {
-        let began = |j: &Job| j.began || j.ran_elsewhere;
+        let began = |j: &Job| j.began || j.renewed;
         let began = self.jobs.get(&number).is_some_and(began);
         let outcome = if began {
             JobOutcome::GivenUp
