testutils: the platform's stand-ins, the real processes on them, and a soak

What they found: a claim lost against one whose scheduler was dead but still leased counts no longer.

--- a/cli/tests/runner/main.rs
+++ b/cli/tests/runner/main.rs
@@ -4,3 +4,4 @@
 mod test_commands;
 mod test_dev_command;
 mod test_failures;
+mod test_platform;
--- /dev/null
+++ b/cli/tests/runner/test_platform.rs
@@ -0,0 +1,256 @@
+//! The roles on the users' platform, as real processes over the platform's stand-ins.
+
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_testutils::fault_proxy::Fault;
+use stackcourse_testutils::platform::callers;
+use stackcourse_testutils::platform::callers::CallerJob;
+use stackcourse_testutils::platform::callers::PREFIX;
+use stackcourse_testutils::platform::fleet;
+use stackcourse_testutils::platform::fleet::Fleet;
+use stackcourse_testutils::platform::fleet::SERVICE;
+use stackcourse_testutils::platform::soak;
+use stackcourse_testutils::platform::store::Mood;
+
+fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_stackcourse"))
+}
+
+fn job(number: u64, tasks: u32, work_ms: u32) -> CallerJob {
+    CallerJob {
+        number: JobNumber(number),
+        tasks,
+        work_ms,
+        cpu: 1000,
+    }
+}
+
+async fn eventually(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !check().await {
+        assert!(Instant::now() < end, "{what}");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn test_platform_serves_jobs_and_refuses_what_it_can_not() {
+    let fleet = Fleet::start(binary(), 2, 3).await;
+    let entry = fleet.entries[0].callers();
+    let got = callers::hand_in(&fleet.workers, entry, job(1, 5, 40)).await;
+    assert_eq!((got.status, got.state.as_str()), (200, "completed"));
+
+    let mut kept = job(2, 1, 10).body();
+    kept["bestEffort"] = false.into();
+    let path = format!("{PREFIX}{}", JobNumber(2));
+    let got = callers::call(entry, "POST", &path, Some(kept)).await;
+    assert_eq!(got.status, 503);
+    assert!(got.come_back.is_some(), "a refusal says when to come back");
+
+    let elsewhere = callers::call(entry, "GET", "/nowhere/", None).await;
+    assert_eq!(elsewhere.status, 404);
+    let unknown = callers::call(entry, "GET", &format!("{PREFIX}{}", JobNumber(9)), None).await;
+    assert_eq!(unknown.status, 410);
+    let pending = callers::call(entry, "GET", PREFIX, None).await;
+    assert_eq!(pending.status, 200);
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_job_that_comes_again_elsewhere_stays_one() {
+    let fleet = Fleet::start(binary(), 2, 2).await;
+    let (one, two) = (fleet.entries[0].callers(), fleet.entries[1].callers());
+    let slow = job(1, 3, 700);
+    let first = callers::hand_in(&fleet.workers, one, slow);
+    let again = async {
+        actix_rt::time::sleep(Duration::from_millis(250)).await;
+        callers::hand_in(&fleet.workers, two, slow).await
+    };
+    let (first, again) = futures::future::join(first, again).await;
+    assert_eq!(first.state, "completed");
+    assert_eq!(again.state, "completed");
+    let starts = fleet.workers.lock().unwrap().witness.starts;
+    assert_eq!(starts, 3, "each task began once");
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_job_of_a_killed_entry_is_run_by_another() {
+    let mut fleet = Fleet::start(binary(), 2, 2).await;
+    let (one, two) = (fleet.entries[0].callers(), fleet.entries[1].callers());
+    let slow = job(1, 3, 900);
+    let workers = fleet.workers.clone();
+    let lost = actix_rt::spawn(async move { callers::hand_in(&workers, one, slow).await });
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    fleet.entries[0].kill();
+    let again = callers::hand_in(&fleet.workers, two, slow).await;
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let log = fleet.entries[1].log_text();
+    assert_eq!(again.state, "completed", "{again:?} {log}");
+    assert_eq!(lost.await.expect("a caller").status, 0);
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_entry_that_was_stopped_starts_nothing_late() {
+    let fleet = Fleet::start(binary(), 2, 2).await;
+    let (one, two) = (fleet.entries[0].callers(), fleet.entries[1].callers());
+    let slow = job(1, 4, 900);
+    let workers = fleet.workers.clone();
+    actix_rt::spawn(async move { callers::hand_in(&workers, one, slow).await });
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    fleet.entries[0].signal(Signal::SIGSTOP);
+    actix_rt::time::sleep(Duration::from_millis(1100)).await;
+    let again = callers::hand_in(&fleet.workers, two, slow).await;
+    fleet.entries[0].signal(Signal::SIGCONT);
+    assert_eq!(again.state, "completed");
+    actix_rt::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_cut_between_entries_does_not_run_a_job_twice() {
+    let fleet = Fleet::start(binary(), 2, 2).await;
+    let (one, two) = (fleet.entries[0].callers(), fleet.entries[1].callers());
+    let stall = Fault {
+        stall: true,
+        ..Fault::default()
+    };
+    fleet.proxies[0].set(stall);
+    actix_rt::time::sleep(Duration::from_millis(1500)).await;
+    let slow = job(1, 2, 500);
+    let first = callers::hand_in(&fleet.workers, one, slow);
+    let second = callers::hand_in(&fleet.workers, two, slow);
+    let (first, second) = futures::future::join(first, second).await;
+    assert!(first.state == "completed" || second.state == "completed");
+    assert_eq!(fleet.violation(), None);
+    fleet.proxies[0].set(Fault::default());
+}
+
+#[actix_rt::test]
+async fn test_platform_planned_stop_cuts_no_request() {
+    let mut fleet = Fleet::start(binary(), 2, 2).await;
+    let entry = fleet.entries[0].callers();
+    let workers = fleet.workers.clone();
+    let slow =
+        actix_rt::spawn(async move { callers::hand_in(&workers, entry, job(1, 2, 600)).await });
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    fleet.entries[0].signal(Signal::SIGTERM);
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    let ready = callers::call(fleet.entries[0].ready(), "GET", "/-/ready", None).await;
+    assert_eq!(ready.status, 503, "an entry that leaves is not ready");
+    let late = callers::hand_in(&fleet.workers, entry, job(2, 1, 50)).await;
+    assert_eq!(late.state, "completed", "what still comes is served");
+    assert_eq!(slow.await.expect("a caller").state, "completed");
+    assert!(
+        fleet.entries[0].stop(Duration::from_secs(8)),
+        "it ends well"
+    );
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_agent_that_leaves_finishes_what_runs() {
+    let mut fleet = Fleet::start(binary(), 1, 2).await;
+    let entry = fleet.entries[0].callers();
+    let workers = fleet.workers.clone();
+    let slow =
+        actix_rt::spawn(async move { callers::hand_in(&workers, entry, job(1, 4, 500)).await });
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    assert!(fleet.agents[0].stop(Duration::from_secs(8)), "it ends well");
+    assert_eq!(slow.await.expect("a caller").state, "completed");
+    assert_eq!(fleet.workers.lock().unwrap().witness.starts, 4);
+    assert_eq!(fleet.violation(), None);
+}
+
+#[actix_rt::test]
+async fn test_platform_draining_worker_gets_nothing_new() {
+    let fleet = Fleet::start(binary(), 1, 2).await;
+    fleet.workers.lock().unwrap().models[0].draining = true;
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    for number in 1..6 {
+        let entry = fleet.entries[0].callers();
+        let got = callers::hand_in(&fleet.workers, entry, job(number, 3, 30)).await;
+        assert_eq!(got.state, "completed");
+    }
+    let log = fleet.agents[0].log_text();
+    assert!(log.contains("SC422"), "the agent tells of it: {log}");
+    assert_eq!(fleet.workers.lock().unwrap().models[0].running.len(), 0);
+}
+
+#[actix_rt::test]
+async fn test_platform_configuration_is_followed_and_survives_the_store() {
+    let fleet = Fleet::start(binary(), 2, 1).await;
+    let entry = fleet.entries[1].callers();
+    assert_eq!(callers::call(entry, "GET", "/new/", None).await.status, 404);
+    fleet.store.compact();
+    let next = fleet::configuration(7, &[SERVICE, "new"]);
+    fleet.store.operator_writes("op/config", &next);
+    eventually("the new queue is there", async || {
+        callers::call(entry, "GET", "/new/", None).await.status == 200
+    })
+    .await;
+    fleet.store.set_mood(Mood::Busy);
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let got = callers::hand_in(&fleet.workers, entry, job(1, 2, 30)).await;
+    assert_eq!(got.state, "completed", "the store is on no job's path");
+}
+
+#[actix_rt::test]
+async fn test_platform_member_key_comes_back_when_it_is_taken_away() {
+    let fleet = Fleet::start(binary(), 1, 1).await;
+    assert_eq!(fleet.store.keys("members/").len(), 1);
+    fleet.store.revoke_keys();
+    eventually("the key is written again", async || {
+        fleet.store.keys("members/").len() == 1
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn test_platform_broken_settings_leave_the_last_good_ones() {
+    let fleet = Fleet::start(binary(), 1, 1).await;
+    let entry = &fleet.entries[0];
+    std::fs::write(entry.settings(), "{\"node\": {\"name\": 3}").expect("a file");
+    entry.signal(Signal::SIGHUP);
+    eventually("the finding is logged", async || {
+        entry.log_text().contains("SC104")
+    })
+    .await;
+    let got = callers::hand_in(&fleet.workers, entry.callers(), job(1, 1, 20)).await;
+    assert_eq!(got.state, "completed");
+}
+
+#[actix_rt::test]
+async fn test_platform_caller_that_leaves_frees_its_room() {
+    let fleet = Fleet::start(binary(), 1, 1).await;
+    let entry = fleet.entries[0].callers();
+    let workers = fleet.workers.clone();
+    let caller =
+        actix_rt::spawn(async move { callers::hand_in(&workers, entry, job(1, 8, 2000)).await });
+    eventually("all tasks run", async || {
+        fleet.workers.lock().unwrap().models[0].running.len() == 8
+    })
+    .await;
+    caller.abort();
+    eventually("the runs are stopped", async || {
+        let mut workers = fleet.workers.lock().unwrap();
+        workers.advance();
+        workers.models[0].running.is_empty()
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn test_platform_soak_keeps_every_promise() {
+    for seed in 1..3 {
+        let report = soak::run(binary(), seed, Duration::from_secs(8)).await;
+        assert_eq!(report.violation, None, "seed {seed}: {report:?}");
+        let enough = report.recovered * 10 >= soak::CALM_JOBS * 8;
+        assert!(enough, "seed {seed} did not recover: {report:?}");
+    }
+}
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -86,17 +86,18 @@
 }
 
 impl SchedulerHost {
-    /// Starts a scheduler that is reached by others at `own`.
+    /// Starts a scheduler that listens at `listen` and is reached by others at `own`.
     ///
     /// # Errors
     ///
     /// When the address can't be bound.
     pub fn start(
         setup: SchedulerSetup,
+        listen: SocketAddr,
         own: SocketAddr,
         log: LogSink,
     ) -> std::io::Result<SchedulerHost> {
-        let listener = channel::listen(own)?;
+        let listener = channel::listen(listen)?;
         let inner = Inner {
             scheduler: RefCell::new(Scheduler::new(setup)),
             start: Instant::now(),
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -506,7 +506,7 @@
         let rival = self.claims.get(&job);
         let rival = rival.filter(|c| c.scheduler != scheduler && now.since(c.at) < RIVALRY);
         if let Some(rival) = rival.map(|c| c.scheduler.clone())
-            && self.sessions.contains_key(&rival)
+            && self.sessions.get(&rival).is_some_and(|s| s.link.is_some())
         {
             if rival.as_str() < scheduler {
                 return self.deny(scheduler, job);
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -181,17 +181,6 @@
     pub fn is_waiting(&self) -> bool {
         self.tasks.iter().any(|t| t.state == TaskState::Ready)
     }
-
-    /// Whether tasks of it are placed.
-    pub fn is_out(&self) -> bool {
-        let out = |t: &Task| matches!(t.state, TaskState::Placed(_));
-        self.tasks.iter().any(out)
-    }
-
-    /// Whether any task is done.
-    pub fn has_done(&self) -> bool {
-        self.tasks.iter().any(|t| t.state == TaskState::Done)
-    }
 }
 
 fn tasks_of(steps: &[Step]) -> Vec<Task> {
--- /dev/null
+++ b/lib/testutils/src/bin/platform-soak.rs
@@ -0,0 +1,52 @@
+//! A soak of the real processes under faults, by seeds.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::Command;
+use clap::value_parser;
+use stackcourse_testutils::platform::soak;
+
+fn main() -> ExitCode {
+    let matches = Command::new("platform-soak")
+        .about("Runs the real processes on the platform's stand-ins under drawn faults")
+        .arg(
+            Arg::new("binary")
+                .long("binary")
+                .default_value("target/release/stackcourse")
+                .value_parser(value_parser!(PathBuf))
+                .help("The stackcourse binary"),
+        )
+        .arg(number("from", "1", "The first seed"))
+        .arg(number("seeds", "50", "How many seeds"))
+        .arg(number("span", "8", "Seconds with faults in each run"))
+        .get_matches();
+    let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
+    let binary = matches.get_one::<PathBuf>("binary").expect("a default");
+    let span = Duration::from_secs(value("span"));
+    let mut broken = 0;
+    for seed in value("from")..value("from") + value("seeds") {
+        let report = actix_rt::System::new().block_on(soak::run(binary, seed, span));
+        let recovered = report.recovered * 10 >= soak::CALM_JOBS * 8;
+        if report.violation.is_some() || !recovered {
+            broken += 1;
+        }
+        println!("seed {seed}: {report:?}");
+    }
+    println!("{broken} seeds with a broken promise or without recovery");
+    if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
--- /dev/null
+++ b/lib/testutils/src/platform/fleet.rs
@@ -0,0 +1,330 @@
+//! The real processes of the system on the platform's stand-ins, each machine at a loopback
+//! address of its own, with a fault proxy before the links of each entry.
+
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fault_proxy::FaultProxy;
+use crate::platform::callers;
+use crate::platform::callers::HOST;
+use crate::platform::callers::PREFIX;
+use crate::platform::store;
+use crate::platform::store::PlatformStoreState;
+use crate::platform::workers;
+use crate::platform::workers::SharedWorkers;
+use crate::platform::workers::Workers;
+use crate::standin::StandIn;
+
+const PEER_PORT: u16 = 7720;
+const PROXY_PORT: u16 = 7730;
+const CALLERS_PORT: u16 = 8161;
+const READY_PORT: u16 = 8167;
+const BEATS_PORT: u16 = 8166;
+const WORKER_PORT: u16 = 8165;
+const METRICS_PORT: u16 = 9464;
+const STORE_PORT: u16 = 8169;
+/// The service of the fleet.
+pub const SERVICE: &str = "quote-desk";
+
+/// A machine with the process of one role on it.
+pub struct Machine {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    role: &'static str,
+    settings: PathBuf,
+    binary: PathBuf,
+    child: Option<Child>,
+}
+
+impl Machine {
+    /// Starts its process, if none runs.
+    ///
+    /// # Panics
+    ///
+    /// When the binary does not run.
+    pub fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let log = File::options().create(true).append(true).open(self.log());
+        let log = log.expect("a log file");
+        let copy = log.try_clone().expect("a log file");
+        let child = Command::new(&self.binary)
+            .args(["platform", self.role])
+            .env("STACKCOURSE_NODE_FILE", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::from(copy))
+            .spawn();
+        self.child = Some(child.expect("the binary runs"));
+    }
+
+    /// Where its log is.
+    pub fn log(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
+    /// Its log so far.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(self.log()).unwrap_or_default()
+    }
+
+    /// Its settings file.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Sends its process a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Kills its process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks its process to stop and waits for its end; whether it ended well in time.
+    pub fn stop(&mut self, limit: Duration) -> bool {
+        self.signal(Signal::SIGTERM);
+        let end = Instant::now() + limit;
+        while let Some(child) = &mut self.child {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.child = None;
+                return status.success();
+            }
+            if Instant::now() >= end {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Where callers reach it, if it is an entry.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, CALLERS_PORT))
+    }
+
+    /// Where it says whether it is ready, if it is an entry.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, READY_PORT))
+    }
+
+    /// Where its metrics are.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, METRICS_PORT))
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.signal(Signal::SIGCONT);
+        self.kill();
+    }
+}
+
+/// The fleet.
+pub struct Fleet {
+    /// The store.
+    pub store: PlatformStoreState,
+    /// The workers.
+    pub workers: SharedWorkers,
+    /// The entries.
+    pub entries: Vec<Machine>,
+    /// The proxies before the entries' links.
+    pub proxies: Vec<FaultProxy>,
+    /// The agents.
+    pub agents: Vec<Machine>,
+    dir: PathBuf,
+    _stand_ins: Vec<StandIn>,
+}
+
+/// A configuration with one queue for each service named.
+pub fn configuration(version: u64, services: &[&str]) -> Value {
+    let route = |service: &&str| {
+        json!({
+            "name": format!("r-{service}"),
+            "host": HOST,
+            "pathPrefix": if *service == SERVICE { PREFIX.to_owned() } else { format!("/{service}/") },
+            "type": "unsafe",
+            "timeoutMs": 1500,
+            "sloMs": 400,
+            "priority": 0,
+            "service": service,
+            "maxAttempts": 3,
+            "extension": 3.0,
+        })
+    };
+    let routes: Vec<Value> = services.iter().map(route).collect();
+    json!({"version": version, "routes": routes, "services": [], "limits": {}})
+}
+
+static NETWORK: AtomicU8 = AtomicU8::new(0);
+
+impl Fleet {
+    /// Starts a fleet and waits until its entries are ready and its agents linked.
+    ///
+    /// # Panics
+    ///
+    /// When it does not come up within half a minute.
+    pub async fn start(binary: &Path, entries: usize, agents: usize) -> Fleet {
+        // Fleets of one process that run at once, and of other processes, do not meet.
+        let place = NETWORK.fetch_add(1, Ordering::Relaxed);
+        let base = [(std::process::id() % 200 + 20) as u8, place];
+        let dir = std::env::temp_dir().join(format!("stackcourse-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&dir).expect("a directory for settings");
+        let ip = |n: usize| Ipv4Addr::new(127, base[0], base[1], n as u8 + 1);
+        let store_state = PlatformStoreState::default();
+        store_state.operator_writes("op/config", &configuration(3, &[SERVICE]));
+        let store_address = SocketAddr::from((ip(0), STORE_PORT));
+        let mut stand_ins = vec![store::start(store_address, store_state.clone())];
+        let shared = Workers::new(agents, SERVICE);
+        let mut fleet = Fleet {
+            store: store_state,
+            workers: shared.clone(),
+            entries: Vec::new(),
+            proxies: Vec::new(),
+            agents: Vec::new(),
+            dir,
+            _stand_ins: Vec::new(),
+        };
+        for number in 0..entries {
+            let at = ip(10 + number);
+            let own = SocketAddr::from((at, PEER_PORT));
+            let listen = SocketAddr::from((at, PROXY_PORT));
+            fleet.proxies.push(FaultProxy::start(listen, own));
+            let node = node(&format!("entry-{number}"), at, store_address, Some(listen));
+            let settings = json!({
+                "node": node,
+                "callers": SocketAddr::from((at, CALLERS_PORT)),
+                "ready": SocketAddr::from((at, READY_PORT)),
+            });
+            let machine = fleet.machine(binary, "entry", number, at, &settings);
+            fleet.entries.push(machine);
+        }
+        for number in 0..agents {
+            let at = ip(30 + number);
+            let beats = SocketAddr::from((at, BEATS_PORT));
+            let worker = SocketAddr::from((at, WORKER_PORT));
+            stand_ins.push(workers::start(worker, beats, shared.clone(), number));
+            let settings = json!({
+                "node": node(&format!("agent-{number}"), at, store_address, None),
+                "beats": beats,
+                "worker": worker,
+                "hold_ms": 1000,
+            });
+            let machine = fleet.machine(binary, "agent", number, at, &settings);
+            fleet.agents.push(machine);
+        }
+        fleet._stand_ins = stand_ins;
+        fleet.wait_until_up().await;
+        fleet
+    }
+
+    fn machine(
+        &self,
+        binary: &Path,
+        role: &'static str,
+        number: usize,
+        ip: Ipv4Addr,
+        settings: &Value,
+    ) -> Machine {
+        let file = self.dir.join(format!("{role}-{number}.json"));
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        let mut machine = Machine {
+            ip,
+            role,
+            settings: file,
+            binary: binary.to_owned(),
+            child: None,
+        };
+        machine.start();
+        machine
+    }
+
+    /// Waits until every entry is ready and every agent is linked to every entry.
+    ///
+    /// # Panics
+    ///
+    /// When that takes over half a minute.
+    pub async fn wait_until_up(&self) {
+        let end = Instant::now() + Duration::from_secs(30);
+        loop {
+            let mut up = true;
+            for entry in &self.entries {
+                let ready = callers::call(entry.ready(), "GET", "/-/ready", None).await;
+                let linked = metric(entry.metrics(), "state", "executors_linked").await;
+                up &= ready.status == 200 && linked == Some(self.agents.len() as u64);
+            }
+            if up {
+                return;
+            }
+            assert!(Instant::now() < end, "the fleet does not come up");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The promise that was broken, if any.
+    ///
+    /// # Panics
+    ///
+    /// When another thread panicked while it held the workers.
+    pub fn violation(&self) -> Option<String> {
+        self.workers.lock().unwrap().witness.violation.clone()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn node(name: &str, ip: Ipv4Addr, store: SocketAddr, reached_at: Option<SocketAddr>) -> Value {
+    json!({
+        "name": name,
+        "zone": "z",
+        "ip": ip,
+        "ports": [PEER_PORT, PEER_PORT + 15],
+        "seeds": [],
+        "store": store,
+        "grace_s": 6.0,
+        "metrics_port": METRICS_PORT,
+        "reached_at": reached_at,
+    })
+}
+
+/// Reads a metric of a process.
+pub async fn metric(address: SocketAddr, name: &str, label: &str) -> Option<u64> {
+    let client = awc::Client::default();
+    let call = client.get(format!("http://{address}/metrics"));
+    let mut answer = call.timeout(Duration::from_secs(2)).send().await.ok()?;
+    let body = answer.body().await.ok()?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text.lines().find(|l| {
+        l.starts_with(&format!("stackcourse_{name}{{")) && l.contains(&format!("\"{label}\""))
+    })?;
+    line.rsplit(' ').next()?.parse().ok()
+}
--- /dev/null
+++ b/lib/testutils/src/platform/workers.rs
@@ -0,0 +1,317 @@
+//! Stand-ins for the platform's workers: a model of each behind its protocol, with beats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web;
+use serde_json::Value;
+use serde_json::json;
+use stackcourse_lib::dispatch::executor::HoldCall;
+use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::OrderReply;
+use stackcourse_lib::dispatch::executor::RunName;
+use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::executor::WorkerEnd;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::TaskName;
+
+use crate::dispatch::witness::Witness;
+use crate::dispatch::worker::WorkerModel;
+use crate::standin;
+use crate::standin::StandIn;
+
+/// What each worker has, in thousandths of a core.
+pub const CAPACITY: u32 = 8_000;
+/// How often a worker beats.
+const BEAT: Duration = Duration::from_millis(200);
+/// How often a hold that waits looks for an end.
+const POLL: Duration = Duration::from_millis(2);
+
+/// All workers and what is seen of them.
+pub struct Workers {
+    /// The workers, by number.
+    pub models: Vec<WorkerModel>,
+    /// What they and the callers see.
+    pub witness: Witness,
+    /// The service they work for.
+    pub service: String,
+    start: Instant,
+    lives: u64,
+}
+
+/// The workers, shared.
+pub type SharedWorkers = Arc<Mutex<Workers>>;
+
+impl Workers {
+    /// Workers that have just come up.
+    pub fn new(count: usize, service: &str) -> SharedWorkers {
+        let mut workers = Workers {
+            models: Vec::new(),
+            witness: Witness::default(),
+            service: service.to_owned(),
+            start: Instant::now(),
+            lives: 0,
+        };
+        for _ in 0..count {
+            let model = workers.new_life();
+            workers.models.push(model);
+        }
+        Arc::new(Mutex::new(workers))
+    }
+
+    fn new_life(&mut self) -> WorkerModel {
+        self.lives += 1;
+        WorkerModel::new(format!("i-{}", self.lives), CAPACITY)
+    }
+
+    /// The time on the workers' clock, in microseconds.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64 + 10_000_000
+    }
+
+    /// A worker crashes and comes up in a new life.
+    pub fn crash(&mut self, number: usize) {
+        self.advance();
+        self.models[number] = self.new_life();
+    }
+
+    /// Ends what is over by now.
+    pub fn advance(&mut self) -> u64 {
+        let now = self.now();
+        for model in &mut self.models {
+            for (run, end) in model.advance(now) {
+                if let Some(job) = self.witness.jobs.get_mut(&run.task.job) {
+                    match end {
+                        WorkerEnd::Done => {
+                            job.done.insert(run.task.index);
+                        }
+                        WorkerEnd::Failed => *job.failed.entry(run.task.index).or_default() += 1,
+                        WorkerEnd::Stopped | WorkerEnd::Lapsed => {}
+                    }
+                }
+            }
+        }
+        now
+    }
+
+    /// Carries out a start. The work stands in the job's text, in milliseconds.
+    fn start(&mut self, number: usize, call: &StartCall) -> OrderReply {
+        let now = self.advance();
+        let work_us = call.spec.parse::<u64>().unwrap_or(50) * 1000;
+        let (reply, begun) = self.models[number].start(now, call, work_us, false);
+        if begun {
+            self.note_start(number, call.run.task);
+        }
+        reply
+    }
+
+    fn note_start(&mut self, number: usize, task: TaskName) {
+        let others = (0..self.models.len()).filter(|n| *n != number);
+        let runs_at = |n: usize| self.models[n].running.contains_key(&task);
+        let elsewhere = others.into_iter().any(runs_at);
+        let jobs = &self.witness.jobs;
+        let cpu = |t: &TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
+        let taken = self.models[number].running.keys().map(cpu).sum();
+        self.witness.started(task, elsewhere, taken, CAPACITY);
+    }
+}
+
+#[derive(Clone)]
+struct Desk {
+    workers: SharedWorkers,
+    number: usize,
+}
+
+/// Starts the stand-in of one worker; it beats at `beats`.
+pub fn start(
+    listen: SocketAddr,
+    beats: SocketAddr,
+    workers: SharedWorkers,
+    number: usize,
+) -> StandIn {
+    let desk = Desk { workers, number };
+    standin::run(listen, move |listener| {
+        let beating = desk.clone();
+        actix_rt::spawn(beat(beating, beats, listen));
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::new(desk.clone()))
+                .route("/-/run-start", web::post().to(run_start))
+                .route("/-/run-stop", web::post().to(run_stop))
+                .route("/-/hold", web::post().to(hold))
+        });
+        Ok(server.workers(1).disable_signals().listen(listener)?.run())
+    })
+}
+
+/// Says of the worker what it has to say, for as long as the stand-in lives.
+async fn beat(desk: Desk, beats: SocketAddr, listen: SocketAddr) {
+    let client = awc::Client::default();
+    let mut sequence = 0u64;
+    loop {
+        sequence += 1;
+        let (life, document) = {
+            let workers = desk.workers.lock().unwrap();
+            let model = &workers.models[desk.number];
+            let state = if model.draining { "draining" } else { "ready" };
+            let document = json!({
+                "service": workers.service,
+                "address": listen.to_string(),
+                "zone": "z",
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "coldRemainingMs": 0,
+                "capacity": {"cpu": model.capacity, "memMb": 65_536, "gpu": 0},
+                "labels": ["a", "r1"],
+                "clockMs": workers.now() / 1000,
+                "sequence": sequence,
+            });
+            (model.life.clone(), document)
+        };
+        let call = client.put(format!("http://{beats}/-/instances/{life}"));
+        let _ = call
+            .timeout(Duration::from_secs(1))
+            .send_json(&document)
+            .await;
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+fn life_of(request: &HttpRequest, desk: &Desk) -> String {
+    let header = request.headers().get("Stackcourse-Expected-Instance");
+    let named = header.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    named.unwrap_or_else(|| {
+        desk.workers.lock().unwrap().models[desk.number]
+            .life
+            .clone()
+    })
+}
+
+/// Reads the name of a run.
+pub fn run_name(body: &Value) -> RunName {
+    let text = body["task"].as_str().unwrap_or_default();
+    let mut parts = text.split('.');
+    let job = parts.next().unwrap_or_default();
+    let mut number = || parts.next().and_then(|p| p.parse().ok()).unwrap_or(0);
+    RunName {
+        task: TaskName {
+            job: JobNumber(u64::from_str_radix(job, 16).unwrap_or(0)),
+            occurrence: number(),
+            step: number(),
+            index: number(),
+        },
+        run: body["run"].as_u64().unwrap_or(0) as u32,
+    }
+}
+
+fn order_response(reply: &OrderReply) -> HttpResponse {
+    match reply {
+        OrderReply::Done(clock) => HttpResponse::Ok().json(json!({"clockMs": clock})),
+        OrderReply::Refused(reason) => {
+            let word = format!("{reason:?}").to_lowercase();
+            HttpResponse::Conflict().json(json!({"clockMs": 0, "reason": word}))
+        }
+        OrderReply::WrongLife => HttpResponse::MisdirectedRequest().finish(),
+        OrderReply::NoAnswer | OrderReply::Unreachable => {
+            HttpResponse::ServiceUnavailable().finish()
+        }
+    }
+}
+
+async fn run_start(
+    request: HttpRequest,
+    desk: web::Data<Desk>,
+    body: web::Json<Value>,
+) -> HttpResponse {
+    let call = StartCall {
+        life: life_of(&request, &desk),
+        run: run_name(&body),
+        spec: body["spec"].as_str().unwrap_or_default().into(),
+        deadline_ms: body["deadlineMs"].as_u64().unwrap_or(0),
+        fence: body["fencingToken"].as_u64().unwrap_or(0),
+        checkpoint: String::new(),
+    };
+    let reply = desk.workers.lock().unwrap().start(desk.number, &call);
+    order_response(&reply)
+}
+
+async fn run_stop(
+    request: HttpRequest,
+    desk: web::Data<Desk>,
+    body: web::Json<Value>,
+) -> HttpResponse {
+    let life = life_of(&request, &desk);
+    let fence = body["fencingToken"].as_u64().unwrap_or(0);
+    let reply = {
+        let mut workers = desk.workers.lock().unwrap();
+        let now = workers.advance();
+        workers.models[desk.number].stop(now, &life, run_name(&body), fence)
+    };
+    order_response(&reply)
+}
+
+async fn hold(request: HttpRequest, desk: web::Data<Desk>, body: web::Json<Value>) -> HttpResponse {
+    let call = HoldCall {
+        life: life_of(&request, &desk),
+        deadline_ms: body["deadlineMs"].as_u64().unwrap_or(0),
+        fence: body["fencingToken"].as_u64().unwrap_or(0),
+        seen: body["lastSeen"].as_u64().unwrap_or(0),
+        wait: Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0)),
+    };
+    let end = Instant::now() + call.wait;
+    loop {
+        let (reply, news) = {
+            let mut workers = desk.workers.lock().unwrap();
+            let now = workers.advance();
+            let model = &mut workers.models[desk.number];
+            (model.hold(now, &call), model.has_news(call.seen))
+        };
+        let lists = matches!(reply, HoldReply::Lists { .. });
+        if news || !lists || Instant::now() >= end {
+            return hold_response(reply);
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn task_text(run: &RunName) -> String {
+    run.task.to_string()
+}
+
+fn hold_response(reply: HoldReply) -> HttpResponse {
+    let HoldReply::Lists {
+        clock_ms,
+        running,
+        finished,
+    } = reply
+    else {
+        return match reply {
+            HoldReply::WrongLife => HttpResponse::MisdirectedRequest().finish(),
+            _ => HttpResponse::Conflict().json(json!({"clockMs": 0, "reason": "fence"})),
+        };
+    };
+    let running: Vec<Value> = running
+        .iter()
+        .map(|r| json!([task_text(&r.run), r.run.run, "", r.percent, 0]))
+        .collect();
+    let finished: Vec<Value> = finished
+        .iter()
+        .map(|f| {
+            let how = format!("{:?}", f.end).to_lowercase();
+            json!([f.number, task_text(&f.run), f.run.run, how, ""])
+        })
+        .collect();
+    HttpResponse::Ok().json(json!({
+        "clockMs": clock_ms,
+        "running": running,
+        "finished": finished,
+    }))
+}
