--- a/lib/src/dispatch/executor/health.rs
+++ b/lib/src/dispatch/executor/health.rs
@@ -12,10 +12,11 @@
 const PACE_WEIGHT: f64 = 0.15;
 /// So many failures of different jobs in a row make a worker suspect.
 const FAILURES: u32 = 3;
-/// A suspect worker gets a task on trial this often.
-const TRIAL_GAP: Duration = Duration::from_millis(400);
+/// Waits between tasks on trial at a suspect worker, shortest and longest. They double with each
+/// trial that goes wrong.
+const TRIAL_GAP: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(3200));
 /// A task that has made no progress for this long, and a tenth of its estimate, stands still.
-const STALL: Duration = Duration::from_millis(220);
+const STALL: Duration = Duration::from_millis(170);
 /// Progress below this share says too little about the pace, in percent.
 const EARLY: u32 = 10;
 
@@ -28,6 +29,7 @@
     last_failed: Option<JobNumber>,
     /// When the last trial task was let through, while suspect.
     trial: Option<Mono>,
+    gap: Duration,
     suspect: bool,
 }
 
@@ -37,6 +39,7 @@
         self.failures = 0;
         self.last_failed = None;
         self.suspect = false;
+        self.gap = TRIAL_GAP.0;
         self.learn(ran, estimate);
     }
 
@@ -47,17 +50,29 @@
         }
         self.last_failed = Some(job);
         if self.failures >= FAILURES {
-            self.suspect = true;
-            self.trial = Some(now);
+            self.suspected(now);
         }
     }
 
-    /// A run stood still.
-    pub fn stalled(&mut self, now: Mono) {
+    fn suspected(&mut self, now: Mono) {
+        let next = if self.suspect {
+            self.gap * 2
+        } else {
+            TRIAL_GAP.0
+        };
+        self.gap = next.clamp(TRIAL_GAP.0, TRIAL_GAP.1);
         self.suspect = true;
         self.trial = Some(now);
     }
 
+    /// A run stood still.
+    pub fn stalled(&mut self, now: Mono) {
+        let at_once = self.suspect && self.trial.is_some_and(|at| now.since(at) < TRIAL_GAP.0 / 4);
+        if !at_once {
+            self.suspected(now);
+        }
+    }
+
     /// A run that has not ended is this far.
     pub fn progress(&mut self, ran: Duration, percent: u32, estimate: Duration) {
         if (EARLY..100).contains(&percent) {
@@ -92,7 +107,7 @@
 
     /// Whether a suspect worker may be tried now. Counts as the trial if so.
     pub fn may_try(&mut self, now: Mono) -> bool {
-        let due = self.trial.is_none_or(|at| now.since(at) >= TRIAL_GAP);
+        let due = self.trial.is_none_or(|at| now.since(at) >= self.gap);
         if due {
             self.trial = Some(now);
         }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -184,6 +184,8 @@
             OrderReply::Refused(reason) => self.start_refused(now, name, reason),
             OrderReply::WrongLife => self.end_run(now, name.task, EndKind::Unavailable),
             OrderReply::Unreachable => self.end_run(now, name.task, EndKind::Unavailable),
+            // The worker has listed it meanwhile: only the answer was lost.
+            OrderReply::NoAnswer if run.state == RunState::Running => {}
             OrderReply::NoAnswer => {
                 self.counts.unanswered += 1;
                 let detail = format!("{} run {}", name.task, name.run);
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -98,6 +98,8 @@
 const MEMORY: Duration = Duration::from_secs(20);
 /// Heartbeats on links are this far apart.
 const HEARTBEAT: Duration = Duration::from_millis(100);
+/// A job may take this many times as long as expected.
+const ROOM_TO_END: f64 = 1.8;
 /// A process that has not run for this long was paused.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Members are told to every link this often.
@@ -130,8 +132,9 @@
     members_told: Mono,
     /// How long tasks take against their estimates, by queue.
     learned: HashMap<String, f64>,
-    leaving: bool,
-    closed: bool,
+    /// When the process ends, once it is leaving.
+    leaving: Option<Mono>,
+    last_taken: Mono,
     rng: SmallRng,
     counts: SchedulerCounts,
     actions: Vec<Action>,
@@ -158,8 +161,8 @@
             members: BTreeMap::new(),
             members_told: Mono::default(),
             learned: HashMap::new(),
-            leaving: false,
-            closed: false,
+            leaving: None,
+            last_taken: Mono::default(),
             rng,
             counts: SchedulerCounts::default(),
             actions: Vec::new(),
@@ -220,7 +223,7 @@
     /// the process is not leaving.
     pub fn is_ready(&self) -> bool {
         let reachable = self.executors.values().any(|e| e.link.is_some());
-        !self.leaving && self.catalog.is_some() && reachable
+        self.leaving.is_none() && self.catalog.is_some() && reachable
     }
 
     /// Jobs held, jobs that wait, linked executors, linked peers.
@@ -240,16 +243,23 @@
         self.jobs.is_empty() && self.following.is_empty()
     }
 
-    /// Begins to leave: not ready any more, though what still comes is served.
-    pub fn leave(&mut self, now: Mono) {
+    /// Begins to leave: not ready any more. What still comes is served if it can end in time.
+    pub fn leave(&mut self, now: Mono, ends_at: Mono) {
         self.enter(now);
-        self.leaving = true;
+        self.leaving = Some(ends_at);
         self.log(Kind::Leaving, self.setup.name.clone());
     }
 
-    /// Refuses whatever comes from now on; what is held goes on.
-    pub fn close(&mut self) {
-        self.closed = true;
+    /// Whether a job can't be expected to end before this process does.
+    fn ends_too_late(&self, job: &Job) -> bool {
+        let whole = job.chain.iter().copied().max().unwrap_or_default();
+        let needed = whole.mul_f64(ROOM_TO_END) + HEARTBEAT;
+        self.leaving.is_some_and(|at| self.now + needed > at)
+    }
+
+    /// How long no job has been taken.
+    pub fn untaken(&self, now: Mono) -> Duration {
+        now.since(self.last_taken)
     }
 
     /// Gives up all that is held, so that every caller has an answer.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -534,7 +534,7 @@
     pub(super) fn flush_peers(&mut self, members: &[proto::Member]) {
         let now = self.now;
         let version = self.version();
-        let leaving = self.leaving;
+        let leaving = self.leaving.is_some();
         for peer in self.peers.values_mut() {
             let Some(link) = peer.link else {
                 continue;
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -33,9 +33,6 @@
             self.actions.push(Action::Answer(caller, outcome));
             return;
         }
-        if self.closed {
-            return self.refuse_unheld(caller, number, "leaving");
-        }
         if let Some((peer, _)) = self.announced.get(&number) {
             let peer = peer.clone();
             if self.is_linked(&peer) {
@@ -68,6 +65,10 @@
         };
         let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
         let mut job = Job::new(self.now, request, queue, learned);
+        if self.ends_too_late(&job) {
+            return self.refuse_unheld(caller, number, "leaving");
+        }
+        self.last_taken = self.now;
         job.callers.push(caller);
         job.renewed = self.ended.get(&number).is_some_and(|e| e.began);
         let claim = claim || job.renewed;
