scheduler: jobs begin only where they are quite sure to be in time

Jobs began at the last moment their guessed work allowed, got some of their tasks, and were late: all of it work for nothing.

Change: a fresh job's last start leaves room for a slow worker and a wrong guess; it begins once 0.6 of its tasks find room; jobs of priority 0 first.

--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -12,6 +12,10 @@
 
 /// A job is worth a little up to this many times its objective.
 pub(super) const LATE_FACTOR: f64 = 3.0;
+/// How long a slow worker takes against the ordinary one.
+const SLOW_WORKER: f64 = 1.25;
+/// The share of a job's spare time that may pass before it begins.
+const SURE_SHARE: f64 = 0.6;
 /// What of the objective has passed before a job arrives here, and passes with its answer.
 const TRAVEL: Duration = Duration::from_millis(12);
 
@@ -78,6 +82,8 @@
     pub safe_since: Mono,
     /// When its caller's objective ends.
     pub objective_at: Mono,
+    /// Until when it will meet the objective quite surely if it begins.
+    pub sure_start: Mono,
     /// When it is of no use to anybody any more.
     pub useless_at: Mono,
     /// Its place among the jobs that wait, if it does.
@@ -100,6 +106,8 @@
         let whole = chain.iter().copied().max().unwrap_or_default();
         let objective = whole.mul_f64(queue.extension.max(1.0))
             + Duration::from_millis(u64::from(queue.objective_ms));
+        let spare = (queue.extension - SLOW_WORKER).max(0.0) * SURE_SHARE;
+        let sure = Duration::from_millis(u64::from(queue.objective_ms)) + whole.mul_f64(spare);
         let patience = Duration::from_millis(request.patience_ms);
         let mut useless_at = now + objective.mul_f64(LATE_FACTOR);
         if !patience.is_zero() {
@@ -123,6 +131,7 @@
             claimed_young: false,
             safe_since: now,
             objective_at: now + objective.saturating_sub(TRAVEL),
+            sure_start: now + sure.saturating_sub(TRAVEL),
             useless_at,
             place: None,
             expected,
@@ -147,11 +156,18 @@
         self.tasks.iter_mut().find(same)
     }
 
-    /// The latest time at which the tasks that are ready can start and meet the objective.
+    /// The latest time at which the tasks that are ready can start and meet the objective. For a
+    /// job that has not begun it is one at which it will do so quite surely: its work is a guess,
+    /// and a job that is late has used as much as one that is in time.
     pub fn latest_start(&self) -> Option<Mono> {
         let ready = self.tasks.iter().filter(|t| t.state == TaskState::Ready);
         let needed = ready.map(|t| self.chain[t.step as usize]).max()?;
-        Some(self.objective_at - needed)
+        let latest = self.objective_at - needed;
+        if self.began {
+            Some(latest)
+        } else {
+            Some(latest.min(self.sure_start))
+        }
     }
 
     /// Makes the tasks ready whose earlier steps are complete.
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -1,6 +1,7 @@
 //! Which task goes where, and which jobs wait no longer.
 
 use rand::Rng;
+use slotmap::SecondaryMap;
 
 use super::Scheduler;
 use super::fleet::ExecutorKey;
@@ -8,6 +9,7 @@
 use super::jobs::Phase;
 use super::jobs::TaskState;
 use crate::dispatch::model::Demand;
+use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
 use crate::prelude::*;
@@ -16,10 +18,14 @@
 /// Jobs that have begun and can still meet their objective. They go first: what they have used is
 /// lost if they are not finished, and so at most one job at a time stands half placed.
 const BEGUN: u8 = 0;
-/// Jobs that have not begun.
-const FRESH: u8 = 1;
+/// Jobs of the most urgent queues that have not begun.
+const URGENT: u8 = 1;
+/// Other jobs that have not begun.
+const FRESH: u8 = 2;
 /// Jobs that have begun and will be late.
-const LATE: u8 = 2;
+const LATE: u8 = 3;
+/// A job that takes more than this share of all workers is placed piece by piece.
+const WIDE: f64 = 0.15;
 /// A late job of which no more than this share waits is finished before others begin: it is worth
 /// a fifth of what it was.
 const WORTH_FINISHING: f64 = 0.25;
@@ -36,6 +42,18 @@
 /// Thousandths of a core by which the choice among workers is spread.
 const JITTER: f64 = 900.0;
 
+/// A fresh job begins once this share of its tasks finds room; the rest goes before all others.
+const ENOUGH: f64 = 0.6;
+
+/// A task and where it goes.
+#[derive(Clone, Copy, Debug)]
+struct Placing {
+    task: usize,
+    step: u32,
+    key: ExecutorKey,
+    trial: bool,
+}
+
 impl Scheduler {
     /// Puts a job where it belongs among those that wait, if it has tasks to place.
     pub(super) fn queue_job(&mut self, number: JobNumber) {
@@ -52,6 +70,7 @@
                 (true, true) => BEGUN,
                 (true, false) if job.waiting_share() <= WORTH_FINISHING => BEGUN,
                 (true, false) => LATE,
+                (false, _) if job.priority == 0 => URGENT,
                 (false, _) => FRESH,
             };
             (class, at)
@@ -85,57 +104,114 @@
             }
             self.place_job(number, median);
             let whole = !self.jobs.get(&number).is_some_and(Job::is_waiting);
-            if class == FRESH && !whole {
+            if matches!(class, URGENT | FRESH) && !whole {
                 break;
             }
         }
     }
 
+    /// Places the ready tasks of a job. A fresh job is placed once there is room for most of it,
+    /// unless it is so wide that this would never be.
     fn place_job(&mut self, number: JobNumber, median: f64) {
         let Some(mut job) = self.jobs.remove(&number) else {
             return;
         };
-        let steps = job.request.steps.len() as u32;
-        for step in 0..steps {
-            self.place_step(&mut job, step, median);
+        let plan = self.plan(&job, median);
+        let ready = job.tasks.iter().filter(|t| t.state == TaskState::Ready);
+        let enough = plan.len() as f64 >= ready.count() as f64 * ENOUGH;
+        if (enough && !plan.is_empty()) || job.began || self.is_wide(&job) {
+            self.carry_out(&mut job, &plan);
         }
         self.jobs.insert(number, job);
         self.queue_job(number);
     }
 
-    fn place_step(&mut self, job: &mut Job, step: u32, median: f64) {
+    /// Whether the ready tasks of a job take a large part of all workers.
+    fn is_wide(&self, job: &Job) -> bool {
+        let mut needed = 0;
+        for task in job.tasks.iter().filter(|t| t.state == TaskState::Ready) {
+            needed += u64::from(job.request.steps[task.step as usize].demand.cpu_milli);
+        }
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        let all: u64 = linked.map(|e| u64::from(e.capacity.cpu_milli)).sum();
+        needed as f64 > WIDE * all as f64
+    }
+
+    /// Where each of the ready tasks would go, as far as there is room.
+    fn plan(&mut self, job: &Job, median: f64) -> Vec<Placing> {
+        let mut free: SecondaryMap<ExecutorKey, Free> = SecondaryMap::new();
+        for (key, executor) in &self.executors {
+            if executor.takes(self.now, &job.service) {
+                free.insert(key, executor.free);
+            }
+        }
+        let mut plan: Vec<Placing> = Vec::new();
+        for step in 0..job.request.steps.len() as u32 {
+            self.plan_step(job, step, median, &mut free, &mut plan);
+        }
+        plan
+    }
+
+    fn plan_step(
+        &mut self,
+        job: &Job,
+        step: u32,
+        median: f64,
+        free: &mut SecondaryMap<ExecutorKey, Free>,
+        plan: &mut Vec<Placing>,
+    ) {
         let ready = |t: &super::jobs::Task| t.step == step && t.state == TaskState::Ready;
-        let mut todo: Vec<usize> = (0..job.tasks.len())
+        let todo: Vec<usize> = (0..job.tasks.len())
             .filter(|i| ready(&job.tasks[*i]))
             .collect();
         let share = todo.len().div_ceil(4);
-        while let Some(first) = todo.first().copied() {
-            let avoid = job.tasks[first].avoid;
-            let Some((key, trial)) = self.choose(job, step, avoid, median) else {
+        let demand = job.request.steps[step as usize].demand;
+        let mut next = 0;
+        while next < todo.len() {
+            let avoid = job.tasks[todo[next]].avoid;
+            let Some((key, trial)) = self.choose(job, step, avoid, median, free, plan) else {
                 return;
             };
             let most = if trial { 1 } else { share };
-            let demand = job.request.steps[step as usize].demand;
-            let executor = &mut self.executors[key];
             let mut placed = 0;
-            while placed < most
-                && let Some(at) = todo.first().copied()
-                && executor.free.holds(demand)
-            {
-                todo.remove(0);
-                executor.reserve(demand);
-                job.tasks[at].state = TaskState::Placed(key);
-                job.tasks[at].attempts += 1;
+            while placed < most && next < todo.len() && free[key].holds(demand) {
+                plan.push(Placing {
+                    task: todo[next],
+                    step,
+                    key,
+                    trial,
+                });
+                free[key] = free[key].less(demand);
+                next += 1;
                 placed += 1;
             }
             if trial {
+                free.remove(key);
+            }
+        }
+    }
+
+    /// Sends the tasks of a plan.
+    fn carry_out(&mut self, job: &mut Job, plan: &[Placing]) {
+        let mut used: Vec<(u32, ExecutorKey)> = Vec::new();
+        for placing in plan {
+            let demand = job.request.steps[placing.step as usize].demand;
+            let executor = &mut self.executors[placing.key];
+            executor.reserve(demand);
+            if placing.trial {
                 executor.last_trial = self.now;
             }
-            self.send_starts(job, step, key);
-            if placed == 0 {
-                return;
+            let task = &mut job.tasks[placing.task];
+            task.state = TaskState::Placed(placing.key);
+            task.attempts += 1;
+            let at = (placing.step, placing.key);
+            if !used.contains(&at) {
+                used.push(at);
             }
         }
+        for (step, key) in used {
+            self.send_starts(job, step, key);
+        }
     }
 
     /// Gathers the starts of tasks that were just placed at an executor.
@@ -190,18 +266,20 @@
         step: u32,
         avoid: Option<ExecutorKey>,
         median: f64,
+        free: &SecondaryMap<ExecutorKey, Free>,
+        plan: &[Placing],
     ) -> Option<(ExecutorKey, bool)> {
         let s = &job.request.steps[step as usize];
         let now = self.now;
         let mut best: Option<(f64, ExecutorKey, bool)> = None;
-        for (key, executor) in &self.executors {
-            if Some(key) == avoid || !executor.takes(now, &job.service) {
-                continue;
-            }
-            if !executor.free.holds(s.demand) || !suits(executor, s) {
+        for (key, room) in free {
+            let executor = &self.executors[key];
+            if Some(key) == avoid || !room.holds(s.demand) || !suits(executor, s) {
                 continue;
             }
-            if s.spread > 0 && count_at(job, step, key) >= s.spread as usize {
+            let planned = plan.iter().filter(|p| p.step == step && p.key == key);
+            let here = count_at(job, step, key) + planned.count();
+            if s.spread > 0 && here >= s.spread as usize {
                 continue;
             }
             let slow = median > 0.0 && f64::from(executor.report.pace_percent) > SLOW * median;
@@ -209,7 +287,7 @@
             if trial && now.since(executor.last_trial) < TRIAL {
                 continue;
             }
-            let mut score = executor.free.cpu_milli as f64;
+            let mut score = room.cpu_milli as f64;
             score += self.rng.random_range(0.0..JITTER);
             if executor.zone == self.setup.zone {
                 score += OWN_ZONE;
--- a/lib/testutils/src/dispatch.rs
+++ b/lib/testutils/src/dispatch.rs
@@ -2,6 +2,7 @@
 //! with models of the network, the workers and the callers around them.
 
 pub mod callers;
+pub mod load;
 pub mod network;
 pub mod run;
 pub mod witness;
--- a/lib/testutils/src/dispatch/callers.rs
+++ b/lib/testutils/src/dispatch/callers.rs
@@ -26,6 +26,8 @@
     pub request: JobRequest,
     /// How long its tasks take, in microseconds.
     pub work_us: u64,
+    /// How long each of its tasks takes, where they differ.
+    pub works_us: Vec<u64>,
     /// Whether its tasks always fail.
     pub poison: bool,
     /// Whether its caller was answered for good or has left.
@@ -34,9 +36,19 @@
     pub tries: u32,
 }
 
+impl OpenJob {
+    /// How long one of its tasks takes, in microseconds.
+    pub fn work_of(&self, index: u32) -> u64 {
+        let list = &self.works_us;
+        list.get(index as usize).copied().unwrap_or(self.work_us)
+    }
+}
+
 /// All callers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Callers {
+    /// The catalog that new schedulers begin with.
+    pub catalog: Catalog,
     /// Their jobs.
     pub jobs: HashMap<JobNumber, OpenJob>,
     /// Which caller waits for which job.
@@ -67,7 +79,30 @@
     }
 }
 
+impl Default for Callers {
+    fn default() -> Callers {
+        Callers::with_catalog(catalog(1))
+    }
+}
+
 impl Callers {
+    /// No callers yet, and the catalog that schedulers begin with.
+    pub fn with_catalog(catalog: Catalog) -> Callers {
+        Callers {
+            catalog,
+            jobs: HashMap::new(),
+            waiting: HashMap::new(),
+            next_caller: 0,
+            next_job: 0,
+        }
+    }
+
+    /// A number for a job that is made elsewhere.
+    pub fn next_number(&mut self) -> JobNumber {
+        self.next_job += 1;
+        JobNumber(self.next_job)
+    }
+
     /// A caller for a job.
     pub fn caller_for(&mut self, number: JobNumber) -> CallerId {
         self.next_caller += 1;
@@ -78,8 +113,7 @@
 
     /// A new job.
     pub fn new_job(&mut self, rng: &mut impl Rng, witness: &mut Witness) -> JobNumber {
-        self.next_job += 1;
-        let number = JobNumber(self.next_job);
+        let number = self.next_number();
         let count = rng.random_range(1..=8);
         let work_ms = [60, 200, 900][rng.random_range(0..3)];
         let cpu_milli = rng.random_range(800..2300);
@@ -103,6 +137,7 @@
         let open = OpenJob {
             request,
             work_us: u64::from(work_ms) * 1000,
+            works_us: Vec::new(),
             poison: rng.random_bool(0.02),
             settled: false,
             tries: 0,
--- /dev/null
+++ b/lib/testutils/src/dispatch/load.rs
@@ -0,0 +1,268 @@
+//! Load on the dispatch plane on a virtual clock: what the policy does with the users' mix of
+//! jobs at a share of the workers' capacity, without the processes' own cost.
+
+use std::rc::Rc;
+
+use rand::Rng;
+use stackcourse_lib::dispatch::catalog::Catalog;
+use stackcourse_lib::dispatch::catalog::Queue;
+use stackcourse_lib::dispatch::model::Demand;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::model::JobRequest;
+use stackcourse_lib::dispatch::model::Step;
+use stackcourse_lib::prelude::Duration;
+
+use crate::dispatch::callers::OpenJob;
+use crate::dispatch::callers::SERVICE;
+use crate::dispatch::witness::SeenJob;
+use crate::dispatch::world::World;
+
+/// A kind of jobs.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// The name of its queue.
+    pub name: &'static str,
+    /// How many of a hundred jobs are of it.
+    pub share: f64,
+    /// The mean work of a task, in milliseconds.
+    pub work_ms: f64,
+    /// The mean number of tasks.
+    pub width: f64,
+    /// The most tasks.
+    pub widest: u32,
+    /// Its priority.
+    pub priority: u32,
+}
+
+/// The kinds of the users' day.
+pub const KINDS: [Kind; 3] = [
+    Kind {
+        name: "short",
+        share: 24.5,
+        work_ms: 60.0,
+        width: 8.0,
+        widest: 32,
+        priority: 0,
+    },
+    Kind {
+        name: "long",
+        share: 4.4,
+        work_ms: 900.0,
+        width: 4.0,
+        widest: 16,
+        priority: 2,
+    },
+    Kind {
+        name: "middle",
+        share: 71.1,
+        work_ms: 200.0,
+        width: 2.0,
+        widest: 8,
+        priority: 1,
+    },
+];
+
+const EXTENSION: f64 = 1.6;
+const OBJECTIVE_MS: u32 = 60;
+const MEAN_CPU: f64 = 1600.0;
+const WORKERS: usize = 11;
+const SPEEDS: [f64; 3] = [0.8, 1.0, 1.25];
+const SIZES: [u32; 3] = [16_000, 16_000, 24_000];
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPlan {
+    /// The seed.
+    pub seed: u64,
+    /// The offered work as a share of the capacity.
+    pub load: f64,
+    /// For how long, in virtual time.
+    pub span: Duration,
+    /// How many schedulers share the load.
+    pub schedulers: usize,
+    /// The share of orders to workers that are carried out late.
+    pub late: f64,
+}
+
+/// What became of the jobs of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KindReport {
+    /// Jobs handed in.
+    pub offered: u64,
+    /// Jobs complete within their objective.
+    pub in_time: u64,
+    /// Jobs complete later.
+    pub late: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// The sum of their work, in core-seconds, and that of the jobs in time.
+    pub work: (f64, f64),
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadReport {
+    /// By kind, in the order of [`KINDS`].
+    pub kinds: [KindReport; 3],
+    /// The promise that was broken, if any.
+    pub violation: Option<String>,
+}
+
+impl LoadReport {
+    /// The share of the offered work that was done in time.
+    pub fn goodput(&self) -> f64 {
+        let offered: f64 = self.kinds.iter().map(|k| k.work.0).sum();
+        let done: f64 = self.kinds.iter().map(|k| k.work.1).sum();
+        done / offered
+    }
+}
+
+struct Offered {
+    number: JobNumber,
+    kind: usize,
+    at: u64,
+    objective_us: u64,
+    work: f64,
+}
+
+fn catalog() -> Catalog {
+    let queue = |kind: &Kind| Queue {
+        name: kind.name.to_owned(),
+        service: SERVICE.to_owned(),
+        priority: kind.priority,
+        max_attempts: 3,
+        extension: EXTENSION,
+        objective_ms: OBJECTIVE_MS,
+        ..Queue::default()
+    };
+    Catalog {
+        version: 2,
+        queues: KINDS.iter().map(queue).collect(),
+        ..Catalog::default()
+    }
+}
+
+/// Runs a plan.
+pub fn run(plan: LoadPlan) -> LoadReport {
+    let mut world = World::with_catalog(plan.seed, plan.schedulers, WORKERS, catalog());
+    for number in 0..WORKERS {
+        world.workers[number].capacity = SIZES[number % 3];
+        world.workers[number].pace = 1.0 / SPEEDS[number % 3];
+    }
+    world.run(Duration::from_secs(4));
+    world.late = plan.late;
+    let mean: f64 = KINDS.iter().map(mean_work).sum::<f64>() / 100.0;
+    let room = |n: usize| f64::from(SIZES[n % 3]) / 1000.0 * SPEEDS[n % 3];
+    let capacity: f64 = (0..WORKERS).map(room).sum();
+    let per_s = plan.load * capacity / mean;
+    let end = world.now + plan.span.as_micros() as u64;
+    let mut offered = Vec::new();
+    while world.now < end {
+        let gap = -world.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / per_s;
+        world.run(Duration::from_secs_f64(gap));
+        offered.push(offer(&mut world, plan.schedulers));
+    }
+    world.run(Duration::from_secs(6));
+    report(&world, &offered)
+}
+
+/// The mean work of a kind's jobs, in core-seconds, times its share.
+fn mean_work(kind: &Kind) -> f64 {
+    kind.share * kind.width * kind.work_ms / 1000.0 * MEAN_CPU / 1000.0
+}
+
+/// A draw around a mean with a spread of 0.4, never below a tenth of it.
+fn around(world: &mut World, mean: f64, spread: f64) -> f64 {
+    let sum: f64 = (0..12).map(|_| world.rng.random_range(0.0..1.0)).sum();
+    (mean * (1.0 + spread * (sum - 6.0))).max(mean / 10.0)
+}
+
+fn offer(world: &mut World, schedulers: usize) -> Offered {
+    let draw = world.rng.random_range(0.0..100.0);
+    let mut kind = 0;
+    let mut sum = KINDS[0].share;
+    while draw > sum && kind < 2 {
+        kind += 1;
+        sum += KINDS[kind].share;
+    }
+    let k = KINDS[kind];
+    let count = (around(world, k.width, 0.4).round() as u32).clamp(1, k.widest);
+    let work_ms = around(world, k.work_ms, 0.4);
+    let cpu_milli = around(world, MEAN_CPU, 0.2) as u32;
+    let works: Vec<u64> = (0..count)
+        .map(|_| (around(world, work_ms, 0.15) * 1000.0) as u64)
+        .collect();
+    let longest = works.iter().copied().max().unwrap_or_default();
+    let estimate = around(world, work_ms, 0.4);
+    let number = world.callers.next_number();
+    let request = JobRequest {
+        number,
+        queue: k.name.to_owned(),
+        spec: Rc::from("work"),
+        steps: vec![Step {
+            count,
+            demand: Demand {
+                cpu_milli,
+                memory_mb: 64,
+                gpu: 0,
+            },
+            estimate_ms: estimate as u32,
+            ..Step::default()
+        }],
+        patience_ms: 4000,
+    };
+    let work = works.iter().sum::<u64>() as f64 / 1e6 * f64::from(cpu_milli) / 1000.0;
+    world.callers.jobs.insert(
+        number,
+        OpenJob {
+            request,
+            work_us: longest,
+            works_us: works,
+            poison: false,
+            settled: false,
+            tries: 0,
+        },
+    );
+    world.witness.jobs.insert(
+        number,
+        SeenJob {
+            tasks: count,
+            cpu: cpu_milli,
+            ..SeenJob::default()
+        },
+    );
+    let at = world.now;
+    let scheduler = world.rng.random_range(0..schedulers);
+    world.hand_in(number, scheduler);
+    Offered {
+        number,
+        kind,
+        at,
+        objective_us: (longest as f64 * EXTENSION) as u64 + u64::from(OBJECTIVE_MS) * 1000,
+        work,
+    }
+}
+
+fn report(world: &World, offered: &[Offered]) -> LoadReport {
+    let mut kinds = [KindReport::default(); 3];
+    for job in offered {
+        let kind = &mut kinds[job.kind];
+        kind.offered += 1;
+        kind.work.0 += job.work;
+        let mut answers = world.answers.iter().filter(|a| a.1 == job.number);
+        match answers.next() {
+            Some((at, _, JobOutcome::Completed)) if at - job.at <= job.objective_us => {
+                kind.in_time += 1;
+                kind.work.1 += job.work;
+            }
+            Some((_, _, JobOutcome::Completed)) => kind.late += 1,
+            Some((_, _, JobOutcome::Refused(_))) => kind.refused += 1,
+            _ => {}
+        }
+    }
+    LoadReport {
+        kinds,
+        violation: world.witness.violation.clone(),
+    }
+}
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use stackcourse_lib::dispatch::catalog::Catalog;
 use stackcourse_lib::dispatch::executor;
 use stackcourse_lib::dispatch::executor::Executor;
 use stackcourse_lib::dispatch::executor::ExecutorSetup;
@@ -27,7 +28,6 @@
 use stackcourse_lib::prelude::Mono;
 use stackcourse_lib::protos::dispatch::frame::Body;
 
-use crate::dispatch::callers;
 use crate::dispatch::callers::AGAIN_US;
 use crate::dispatch::callers::Callers;
 use crate::dispatch::callers::SERVICE;
@@ -40,6 +40,8 @@
 pub const CAPACITY: u32 = 16_000;
 /// Time passes for processes in steps of this, in microseconds.
 const TICK_US: u64 = 20_000;
+/// An order's answer is waited for this long, in microseconds.
+const ORDER_US: u64 = 60_000;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
@@ -99,6 +101,8 @@
     pub lost: f64,
     /// Inputs given to the state machines.
     pub steps: u64,
+    /// What callers were told, and when.
+    pub answers: Vec<(u64, JobNumber, JobOutcome)>,
     /// Whether log lines and what happens at the workers are printed.
     pub trace: bool,
     schedulers: Vec<SchedulerNode>,
@@ -111,16 +115,22 @@
 impl World {
     /// A world in which everything has just come up.
     pub fn new(seed: u64, schedulers: usize, executors: usize) -> World {
+        World::with_catalog(seed, schedulers, executors, Callers::default().catalog)
+    }
+
+    /// The same, with a catalog.
+    pub fn with_catalog(seed: u64, schedulers: usize, executors: usize, catalog: Catalog) -> World {
         let mut world = World {
             now: 10_000_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             witness: Witness::default(),
-            callers: Callers::default(),
+            callers: Callers::with_catalog(catalog),
             workers: Vec::new(),
             network: Network::default(),
             late: 0.0,
             lost: 0.0,
             steps: 0,
+            answers: Vec::new(),
             trace: false,
             schedulers: Vec::new(),
             executors: Vec::new(),
@@ -198,7 +208,7 @@
             seed: life,
         };
         let mut scheduler = Scheduler::new(setup);
-        scheduler.set_catalog(Mono(self.now + skew), callers::catalog(1));
+        scheduler.set_catalog(Mono(self.now + skew), self.callers.catalog.clone());
         SchedulerNode {
             scheduler,
             up: true,
@@ -375,10 +385,18 @@
                 executor::Action::Close(link) => self.close(Node::Executor(n), link),
                 executor::Action::Start(call) => {
                     let (wait, late) = self.order_delay();
+                    if late {
+                        let unanswered = Due::Started(n, life, call.run, OrderReply::NoAnswer);
+                        self.at(ORDER_US, unanswered);
+                    }
                     self.at(wait, Due::Start(n, life, call, late));
                 }
                 executor::Action::Stop(worker, run, fence) => {
                     let (wait, late) = self.order_delay();
+                    if late {
+                        let unanswered = Due::Stopped(n, life, run, OrderReply::NoAnswer);
+                        self.at(ORDER_US, unanswered);
+                    }
                     self.at(wait, Due::Stop(n, life, worker, run, fence, late));
                 }
                 executor::Action::Hold(call) => {
@@ -412,7 +430,7 @@
         let Some(job) = self.callers.jobs.get(&task.job) else {
             return self.witness.break_promise(format!("{task}: nobody's job"));
         };
-        let (work_us, poison) = (job.work_us, job.poison);
+        let (work_us, poison) = (job.work_of(task.index), job.poison);
         let cpu = self.witness.jobs[&task.job].cpu;
         let reply = if self.workers[n].up {
             let now = self.now;
@@ -429,7 +447,7 @@
             OrderReply::Unreachable
         };
         if late {
-            // The caller of a late order was told long ago that there is no answer.
+            // Whoever ordered it was told long ago that there is no answer.
             return;
         }
         let (wait, reply) = self.reply_delay(reply);
@@ -445,7 +463,8 @@
         let cpu_of =
             |t: &stackcourse_lib::dispatch::model::TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
         let taken = self.workers[n].running.keys().map(cpu_of).sum();
-        self.witness.started(run.task, elsewhere, taken, CAPACITY);
+        let capacity = self.workers[n].capacity;
+        self.witness.started(run.task, elsewhere, taken, capacity);
     }
 
     fn stop(&mut self, n: usize, life: u64, worker: &str, run: RunName, fence: u64, late: bool) {
@@ -465,7 +484,7 @@
     /// How long a reply takes, and the reply as it arrives.
     fn reply_delay(&mut self, reply: OrderReply) -> (u64, OrderReply) {
         if self.rng.random_bool(self.lost) {
-            (250_000, OrderReply::NoAnswer)
+            (ORDER_US, OrderReply::NoAnswer)
         } else {
             (self.rng.random_range(100..800), reply)
         }
@@ -639,6 +658,7 @@
             return;
         };
         self.witness.answered(number, outcome);
+        self.answers.push((self.now, number, outcome));
         if outcome != JobOutcome::Unknown
             && let Some(job) = self.callers.jobs.get_mut(&number)
         {
