agent: a single lost answer of a hold does not make the worker silent

Holds are orders, too: each lost one left the agent without news for 470 ms, and it took nothing new until the next answer.

Change: a worker counts as silent after 200 ms without any answer; a hold waits 25 ms and its answer 20 ms more; starts and stops are waited for 40 ms.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -239,8 +239,9 @@
     pub strangers: u64,
 }
 
-/// A hold waits this long at the worker, and so long the progress of runs goes unread.
-const HOLD_WAIT: Duration = Duration::from_millis(120);
+/// A hold waits this long at the worker. When its answer is lost, ends go unread for about twice
+/// as long.
+const HOLD_WAIT: Duration = Duration::from_millis(25);
 /// Updates to one scheduler are at least this far apart, unless they tell of ends.
 const REPORT_GAP: Duration = Duration::from_millis(15);
 /// Each scheduler hears from the executor at least this often.
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -21,9 +21,11 @@
 use crate::prelude::*;
 
 /// A stop that got no answer is sent again after this long.
-const STOP_AGAIN: Duration = Duration::from_millis(150);
+const STOP_AGAIN: Duration = Duration::from_millis(40);
 /// A start must begin within this time on the worker's clock.
 const START_WITHIN: Duration = Duration::from_millis(700);
+/// Single answers can be lost; a worker that gives none for this long counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(200);
 /// A worker that does not answer is asked again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(40);
 /// How far a fencing token is raised when the worker has seen a higher one.
@@ -330,9 +332,13 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        self.hold_at = now + ASK_AGAIN;
         let since = *worker.silent_since.get_or_insert(now);
-        if worker.answers {
+        let long = now.since(since) >= SILENT_AFTER;
+        let refused = *reply != HoldReply::NoAnswer;
+        if long || refused {
+            self.hold_at = now + ASK_AGAIN;
+        }
+        if worker.answers && (long || refused) {
             worker.answers = false;
             let detail = format!("{}: {reply:?}", worker.beat.life);
             self.log(Kind::WorkerSilent, detail);
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -41,7 +41,9 @@
 /// Time passes for processes in steps of this, in microseconds.
 const TICK_US: u64 = 20_000;
 /// An order's answer is waited for this long, in microseconds.
-const ORDER_US: u64 = 60_000;
+const ORDER_US: u64 = 40_000;
+/// The answer to a hold is waited for this much longer than the hold may wait, in microseconds.
+const HOLD_EXTRA_US: u64 = 20_000;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
@@ -400,8 +402,14 @@
                     self.at(wait, Due::Stop(n, life, worker, run, fence, late));
                 }
                 executor::Action::Hold(call) => {
-                    let until = self.now + call.wait.as_micros() as u64;
-                    self.at(200, Due::Hold(n, life, call, until));
+                    let wait = call.wait.as_micros() as u64;
+                    if self.rng.random_bool(self.late) {
+                        let unanswered = Due::Held(n, life, HoldReply::NoAnswer);
+                        self.at(wait + HOLD_EXTRA_US, unanswered);
+                    } else {
+                        let until = self.now + wait;
+                        self.at(200, Due::Hold(n, life, call, until));
+                    }
                 }
                 executor::Action::Log(event) => self.print(Node::Executor(n), &event.to_string()),
                 executor::Action::Dial(_) => {}
@@ -502,7 +510,7 @@
         }
         let lost = self.rng.random_bool(self.lost);
         let (wait, reply) = if lost {
-            (350_000, HoldReply::NoAnswer)
+            (HOLD_EXTRA_US, HoldReply::NoAnswer)
         } else {
             (self.rng.random_range(100..800), first)
         };
