--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -8,6 +8,7 @@
 pub mod executor_host;
 pub mod follow;
 pub mod http;
+pub mod links;
 pub mod log_sink;
 pub mod metrics_page;
 pub mod scheduler_host;
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -1,8 +1,6 @@
 //! An executor under the real runtime.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,12 +21,11 @@
 use stackcourse_lib::protos::dispatch as proto;
 use stackcourse_lib::protos::dispatch::frame::Body;
 
-use crate::dispatch::channel;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::links;
+use crate::dispatch::links::Links;
 use crate::dispatch::log_sink::LogSink;
-use crate::dispatch::scheduler_host::REDIAL;
-use crate::dispatch::scheduler_host::jitter;
 
 /// Time passes for the executor in steps of this.
 const TICK: Duration = Duration::from_millis(25);
@@ -60,8 +57,7 @@
     executor: RefCell<Executor>,
     worker: W,
     start: Instant,
-    links: RefCell<HashMap<LinkId, ChannelSender>>,
-    dialling: RefCell<HashSet<SocketAddr>>,
+    links: Links,
     log: RefCell<LogSink>,
 }
 
@@ -72,8 +68,7 @@
             executor: RefCell::new(Executor::new(setup)),
             worker,
             start: Instant::now(),
-            links: RefCell::default(),
-            dialling: RefCell::default(),
+            links: Links::default(),
             log: RefCell::new(log),
         };
         let host = ExecutorHost {
@@ -126,42 +121,22 @@
 
     /// Keeps a link to the scheduler at this address.
     pub fn dial(&self, address: SocketAddr) {
-        if !self.inner.dialling.borrow_mut().insert(address) {
-            return;
+        if self.inner.links.begin(address) {
+            let host = self.clone();
+            actix_rt::spawn(links::keep(address, host, || false));
         }
-        let host = self.clone();
-        actix_rt::spawn(async move {
-            let mut wait = REDIAL.0;
-            loop {
-                if channel::dial(address, &host).await.is_ok() {
-                    wait = REDIAL.0;
-                }
-                actix_rt::time::sleep(jitter(wait)).await;
-                wait = (wait * 2).min(REDIAL.1);
-            }
-        });
     }
 
     fn perform(&self, now: Mono, action: Action) {
         match action {
-            Action::Send(link, body) => {
-                if let Some(sender) = self.inner.links.borrow().get(&link) {
-                    sender.send(body);
-                }
-            }
-            Action::Close(link) => {
-                self.inner.links.borrow_mut().remove(&link);
-            }
+            Action::Send(link, body) => self.inner.links.send(link, body),
+            Action::Close(link) => self.inner.links.remove(link),
             Action::Start(call) => self.call_start(call),
             Action::Stop(life, run, fence) => self.call_stop(life, run, fence),
             Action::Hold(call) => self.call_hold(call),
-            Action::Dial(members) => {
-                for member in members {
-                    if let Ok(address) = member.address.parse() {
-                        self.dial(address);
-                    }
-                }
-            }
+            Action::Dial(members) => links::addresses(&members)
+                .into_iter()
+                .for_each(|address| self.dial(address)),
             Action::Log(event) => self.inner.log.borrow_mut().log(now, &event),
         }
     }
@@ -202,7 +177,7 @@
     }
 
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
-        self.inner.links.borrow_mut().insert(link, sender);
+        self.inner.links.insert(link, sender);
         self.with(|e, now| e.link_up(now, link, theirs));
     }
 
@@ -213,7 +188,7 @@
     }
 
     fn down(&self, link: LinkId) {
-        self.inner.links.borrow_mut().remove(&link);
+        self.inner.links.remove(link);
         self.with(|e, _| e.link_down(link));
     }
 }
--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use stackcourse_lib::event::Kind;
 
-use crate::dispatch::scheduler_host::jitter;
+use crate::dispatch::links::jitter;
 use crate::dispatch::store::Change;
 use crate::dispatch::store::Item;
 use crate::dispatch::store::KeyStore;
--- /dev/null
+++ b/lib/daemon/src/dispatch/links.rs
@@ -0,0 +1,78 @@
+//! The open links of a process, and the addresses it keeps connecting to.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::protos::dispatch::Member;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+use crate::dispatch::channel;
+use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::Listener;
+
+/// Waits between tries to reach a process, shortest and longest.
+const REDIAL: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
+
+/// The links.
+#[derive(Default)]
+pub struct Links {
+    open: RefCell<HashMap<LinkId, ChannelSender>>,
+    dialling: RefCell<HashSet<SocketAddr>>,
+}
+
+impl Links {
+    /// Notes a link that is up.
+    pub fn insert(&self, link: LinkId, sender: ChannelSender) {
+        self.open.borrow_mut().insert(link, sender);
+    }
+
+    /// Forgets a link; what is queued on it is sent before it closes.
+    pub fn remove(&self, link: LinkId) {
+        self.open.borrow_mut().remove(&link);
+    }
+
+    /// Sends a message, if the link is open.
+    pub fn send(&self, link: LinkId, body: Body) {
+        if let Some(sender) = self.open.borrow().get(&link) {
+            sender.send(body);
+        }
+    }
+
+    /// Notes that an address is connected to from now on; whether that is new.
+    pub fn begin(&self, address: SocketAddr) -> bool {
+        self.dialling.borrow_mut().insert(address)
+    }
+}
+
+/// The addresses of members, as far as they can be read.
+pub fn addresses(members: &[Member]) -> Vec<SocketAddr> {
+    let parse = |m: &Member| m.address.parse().ok();
+    members.iter().filter_map(parse).collect()
+}
+
+/// Keeps a link to an address for as long as the process lives. While `linked` says that there is
+/// one already, it only looks again.
+pub async fn keep<L: Listener>(address: SocketAddr, listener: L, linked: impl Fn() -> bool) {
+    let mut wait = REDIAL.0;
+    loop {
+        if linked() {
+            actix_rt::time::sleep(REDIAL.1).await;
+            continue;
+        }
+        if channel::dial(address, &listener).await.is_ok() {
+            wait = REDIAL.0;
+        }
+        actix_rt::time::sleep(jitter(wait)).await;
+        wait = (wait * 2).min(REDIAL.1);
+    }
+}
+
+/// A wait somewhere between half of `span` and all of it.
+pub fn jitter(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -3,13 +3,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::Rng;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::model::JobRequest;
@@ -28,14 +26,12 @@
 use crate::dispatch::channel;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::links;
+use crate::dispatch::links::Links;
 use crate::dispatch::log_sink::LogSink;
 
 /// Time passes for the scheduler in steps of this.
 const TICK: Duration = Duration::from_millis(20);
-/// Waits between tries to reach a process, shortest and longest.
-pub(crate) const REDIAL: (Duration, Duration) =
-    (Duration::from_millis(50), Duration::from_millis(300));
-
 /// How long the other scheduler has to connect first.
 const YIELD: Duration = Duration::from_millis(300);
 
@@ -49,10 +45,9 @@
     scheduler: RefCell<Scheduler>,
     start: Instant,
     own: SocketAddr,
-    links: RefCell<HashMap<LinkId, ChannelSender>>,
+    links: Links,
     callers: RefCell<HashMap<CallerId, oneshot::Sender<JobOutcome>>>,
     next_caller: Cell<u64>,
-    dialling: RefCell<HashSet<SocketAddr>>,
     log: RefCell<LogSink>,
 }
 
@@ -102,10 +97,9 @@
             scheduler: RefCell::new(Scheduler::new(setup)),
             start: Instant::now(),
             own,
-            links: RefCell::default(),
+            links: Links::default(),
             callers: RefCell::default(),
             next_caller: Cell::new(1),
-            dialling: RefCell::default(),
             log: RefCell::new(log),
         };
         let host = SchedulerHost {
@@ -186,63 +180,39 @@
 
     /// Keeps a link to the scheduler at this address.
     pub fn dial(&self, address: SocketAddr) {
-        if address == self.inner.own || !self.inner.dialling.borrow_mut().insert(address) {
+        if address == self.inner.own || !self.inner.links.begin(address) {
             return;
         }
         let host = self.clone();
         actix_rt::spawn(async move {
-            let mut wait = REDIAL.0;
             // Of two schedulers that know each other, one is given the time to connect first.
             if address < host.inner.own {
                 actix_rt::time::sleep(YIELD).await;
             }
-            loop {
-                let known = address.to_string();
-                if host.read(|s| s.is_linked_to(&known)) {
-                    actix_rt::time::sleep(REDIAL.1).await;
-                    continue;
-                }
-                if channel::dial(address, &host).await.is_ok() {
-                    wait = REDIAL.0;
-                }
-                actix_rt::time::sleep(jitter(wait)).await;
-                wait = (wait * 2).min(REDIAL.1);
-            }
+            let known = address.to_string();
+            let reading = host.clone();
+            let linked = move || reading.read(|s| s.is_linked_to(&known));
+            links::keep(address, host, linked).await;
         });
     }
 
     fn perform(&self, now: Mono, action: Action) {
         match action {
-            Action::Send(link, body) => {
-                if let Some(sender) = self.inner.links.borrow().get(&link) {
-                    sender.send(*body);
-                }
-            }
-            Action::Close(link) => {
-                self.inner.links.borrow_mut().remove(&link);
-            }
+            Action::Send(link, body) => self.inner.links.send(link, *body),
+            Action::Close(link) => self.inner.links.remove(link),
             Action::Answer(caller, outcome) => {
                 if let Some(sender) = self.inner.callers.borrow_mut().remove(&caller) {
                     let _ = sender.send(outcome);
                 }
             }
-            Action::Dial(members) => {
-                for member in members {
-                    if let Ok(address) = member.address.parse() {
-                        self.dial(address);
-                    }
-                }
-            }
+            Action::Dial(members) => links::addresses(&members)
+                .into_iter()
+                .for_each(|address| self.dial(address)),
             Action::Log(event) => self.inner.log.borrow_mut().log(now, &event),
         }
     }
 }
 
-/// A wait somewhere between half of `span` and all of it.
-pub(crate) fn jitter(span: Duration) -> Duration {
-    span.mul_f64(rand::rng().random_range(0.5..1.0))
-}
-
 impl Listener for SchedulerHost {
     fn greeting(&self) -> proto::Greeting {
         self.read(Scheduler::greeting)
@@ -253,7 +223,7 @@
     }
 
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
-        self.inner.links.borrow_mut().insert(link, sender);
+        self.inner.links.insert(link, sender);
         self.with(|s, now| s.link_up(now, link, theirs));
     }
 
@@ -262,7 +232,7 @@
     }
 
     fn down(&self, link: LinkId) {
-        self.inner.links.borrow_mut().remove(&link);
+        self.inner.links.remove(link);
         self.with(|s, now| s.link_down(now, link));
     }
 }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -174,10 +174,26 @@
     /// Takes note of the time. After a pause of this process others seem to have been silent that
     /// only were not listened to.
     fn enter(&mut self, now: Mono) {
-        if now.since(self.now) >= PAUSE {
+        let begun = self.now != Mono::default();
+        let pause = now.since(self.now);
+        self.now = now;
+        if pause >= PAUSE {
             self.awake_since = now;
         }
-        self.now = now;
+        if pause >= self.setup.silence && begun {
+            self.drop_links();
+        }
+    }
+
+    /// Gives up all links, as the others have done by now: what waits in them is old, and must not
+    /// be taken for a sign of life.
+    fn drop_links(&mut self) {
+        self.log(Kind::Paused, self.setup.name.clone());
+        for executor in self.executors.values_mut() {
+            executor.report.ready = false;
+            self.actions.extend(executor.link.take().map(Action::Close));
+        }
+        self.drop_peer_links();
     }
 
     /// For how long nothing was heard from somebody who was last heard then, while this process
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -21,8 +21,10 @@
 
 /// Within this time after its start a scheduler has met the executors that can be met.
 const MEETING: Duration = Duration::from_millis(400);
-/// A job that was handed in at a peer so long ago has been announced if the peer was heard since.
-const UNANNOUNCED: Duration = Duration::from_millis(1200);
+/// A peer that has not been heard for so long may have jobs that were not announced here.
+const UNHEARD: Duration = Duration::from_millis(600);
+/// A job may be handed in again elsewhere after so long at the earliest.
+const AGAIN_AFTER: Duration = Duration::from_millis(1200);
 /// A scheduler that has started within this time may have had jobs in its life before.
 const YOUNG: Duration = Duration::from_millis(1300);
 
@@ -152,6 +154,19 @@
         }
     }
 
+    /// Gives up the links to all peers.
+    pub(super) fn drop_peer_links(&mut self) {
+        let linked = self.peers.iter().filter(|(_, p)| p.link.is_some());
+        let names: Vec<String> = linked.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(peer) = self.peers.get_mut(&name) {
+                let closing = peer.spare.drain(..).chain(peer.link.take());
+                self.actions.extend(closing.map(Action::Close));
+            }
+            self.peer_down(&name);
+        }
+    }
+
     fn peer_down(&mut self, name: &str) {
         let Some(peer) = self.peers.get_mut(name) else {
             return;
@@ -382,7 +397,7 @@
         if now.since(self.setup.started) < YOUNG {
             return true;
         }
-        let unheard = |name: &String| now.since(self.last_heard(name)) >= UNANNOUNCED;
+        let unheard = |name: &String| now.since(self.last_heard(name)) >= UNHEARD;
         self.doubtful().iter().any(unheard) || self.is_minority()
     }
 
@@ -390,7 +405,7 @@
     /// here whether those peers are at work.
     fn is_minority(&self) -> bool {
         let now = self.now;
-        let away = |p: &Peer| p.link.is_none() && now.since(p.heard) >= UNANNOUNCED;
+        let away = |p: &Peer| p.link.is_none() && now.since(p.heard) >= UNHEARD;
         let linked = self.executors.values().filter(|e| e.link.is_some());
         self.peers.values().any(away) && linked.count() * 2 < self.executors.len()
     }
@@ -406,13 +421,13 @@
     /// claimed before anything more of it is placed.
     pub(super) fn is_exposed(&self, job: &Job) -> bool {
         let now = self.now;
-        now.since(job.safe_since) >= UNANNOUNCED && self.gap > job.safe_since
+        now.since(job.safe_since) >= AGAIN_AFTER && self.gap > job.safe_since
     }
 
     /// Notes whether some peer is not heard at present.
     pub(super) fn note_gap(&mut self) {
         let now = self.now;
-        let unheard = |p: &Peer| now.since(p.heard) >= UNANNOUNCED;
+        let unheard = |p: &Peer| now.since(p.heard) >= UNHEARD;
         if self.peers.values().any(unheard) {
             self.gap = now;
         }
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
@@ -256,7 +257,17 @@
             priority: job.priority,
             spread: s.spread,
         };
-        self.executors[key].orders.starts.push(message);
+        let executor = &mut self.executors[key];
+        let detail = format!(
+            "{}.0.{step} at {}: {} tasks, report {} ms old, {} milli-cores left",
+            job.request.number,
+            executor.name,
+            message.tasks.len(),
+            crate::clock::millis(now.since(executor.heard)),
+            executor.free.cpu_milli,
+        );
+        executor.orders.starts.push(message);
+        self.log(Kind::TasksPlaced, detail);
     }
 
     /// The executor for a task of a step, and whether it is one on trial.
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -4,6 +4,7 @@
 use super::CallerId;
 use super::Ended;
 use super::Scheduler;
+use super::fleet::ExecutorView;
 use super::jobs::Job;
 use super::jobs::TaskState;
 use crate::dispatch::model::JobNumber;
@@ -162,7 +163,10 @@
             }
         }
         let took = crate::clock::millis(self.now.since(job.arrived));
-        let detail = format!("{number} {} {cause} after {took} ms", outcome.word());
+        let mut detail = format!("{number} {} {cause} after {took} ms", outcome.word());
+        if matches!(outcome, JobOutcome::Refused(_) | JobOutcome::GivenUp) {
+            detail.push_str(&self.room_in_words(&job));
+        }
         let kind = match outcome {
             JobOutcome::Completed => Kind::JobCompleted,
             JobOutcome::Refused(_) => Kind::JobRefused,
@@ -180,6 +184,23 @@
         }
     }
 
+    /// What was known of the workers when a job was turned away.
+    fn room_in_words(&self, job: &Job) -> String {
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        let linked = linked.count();
+        let ready = |e: &&ExecutorView| e.takes(self.now, &job.service);
+        let ready: Vec<&ExecutorView> = self.executors.values().filter(ready).collect();
+        let free: i64 = ready.iter().map(|e| e.free.cpu_milli).sum();
+        let age = ready.iter().map(|e| self.now.since(e.heard)).max();
+        format!(
+            "; {} of {linked} linked executors take tasks, {free} milli-cores free, oldest report \
+             {} ms, {} jobs wait",
+            ready.len(),
+            crate::clock::millis(age.unwrap_or_default()),
+            self.waiting.len(),
+        )
+    }
+
     pub(super) fn remember(&mut self, number: JobNumber, outcome: JobOutcome, began: bool) {
         let at = self.now;
         let ended = Ended { at, outcome, began };
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -80,6 +80,7 @@
     JobRefused = 403, Info, "a job was refused; nothing of it was started";
     JobFollowed = 404, Info, "a job that came again is followed at another scheduler";
     JobClaimed = 405, Info, "a job is claimed at the executors before it runs";
+    TasksPlaced = 406, Info, "tasks of a job were sent to an executor";
     TaskAgain = 410, Info, "a task is to be placed again";
     WorkerUp = 420, Info, "a worker has registered";
     WorkerReady = 421, Info, "a worker takes tasks";
@@ -93,6 +94,7 @@
     RunStalled = 433, Warn, "a run stands still and is stopped";
     StrangerRun = 434, Warn, "a run that was not started here is stopped";
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
+    Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
 }
 
 /// One occurrence of an event.
--- /dev/null
+++ b/lib/tests/runner/test_executor.rs
@@ -0,0 +1,524 @@
+//! The executor: room, leases, claims, and orders that get no answer.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use stackcourse_lib::dispatch::executor::Action;
+use stackcourse_lib::dispatch::executor::Executor;
+use stackcourse_lib::dispatch::executor::ExecutorSetup;
+use stackcourse_lib::dispatch::executor::FinishedRow;
+use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::OrderReply;
+use stackcourse_lib::dispatch::executor::RunName;
+use stackcourse_lib::dispatch::executor::RunningRow;
+use stackcourse_lib::dispatch::executor::StartRefusal;
+use stackcourse_lib::dispatch::executor::WorkerBeat;
+use stackcourse_lib::dispatch::executor::WorkerEnd;
+use stackcourse_lib::dispatch::model::Demand;
+use stackcourse_lib::dispatch::model::EndKind;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::TaskName;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::prelude::Mono;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+const ONE: LinkId = LinkId(1);
+const TWO: LinkId = LinkId(2);
+
+/// An executor beside a worker of two tasks' room, and what it has asked for.
+struct Bench {
+    executor: Executor,
+    now: Mono,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    /// A worker that has been met, with nothing running.
+    fn ready() -> Bench {
+        let mut bench = Bench::new();
+        bench.beat("w1", false, 1);
+        bench.lists(&[], Vec::new());
+        bench.link(ONE, "one");
+        bench
+    }
+
+    fn new() -> Bench {
+        let setup = ExecutorSetup {
+            name: "e".to_owned(),
+            zone: "z".to_owned(),
+            incarnation: 1,
+            started: Mono(1),
+            fence: 5,
+            lease: Duration::from_millis(700),
+            worker_hold: Duration::from_millis(1000),
+        };
+        Bench {
+            executor: Executor::new(setup),
+            now: Mono(1),
+            actions: Vec::new(),
+        }
+    }
+
+    fn take(&mut self) {
+        let fresh = self.executor.take_actions();
+        self.actions.extend(fresh);
+    }
+
+    fn beat(&mut self, life: &str, draining: bool, sequence: u64) {
+        let beat = WorkerBeat {
+            life: life.to_owned(),
+            service: "s".to_owned(),
+            draining,
+            capacity: Demand {
+                cpu_milli: 2000,
+                memory_mb: 1000,
+                gpu: 0,
+            },
+            labels: Vec::new(),
+            sequence,
+        };
+        self.executor.beat(self.now, beat);
+        self.take();
+    }
+
+    fn lists(&mut self, running: &[RunName], finished: Vec<FinishedRow>) {
+        let percent = (self.now.0 / 20_000 % 99) as u32;
+        let row = |run: &RunName| RunningRow { run: *run, percent };
+        let reply = HoldReply::Lists {
+            clock_ms: 1000 + self.now.0 / 1000,
+            running: running.iter().map(row).collect(),
+            finished,
+        };
+        self.held(reply);
+    }
+
+    fn held(&mut self, reply: HoldReply) {
+        self.executor.held(self.now, reply);
+        self.take();
+    }
+
+    fn link(&mut self, link: LinkId, name: &str) {
+        let greeting = proto::Greeting {
+            name: name.to_owned(),
+            incarnation: 7,
+            ..proto::Greeting::default()
+        };
+        self.executor.link_up(self.now, link, &greeting);
+        self.take();
+    }
+
+    fn orders(&mut self, link: LinkId, orders: proto::Orders) {
+        let orders = proto::Orders {
+            echo_us: self.now.0,
+            ..orders
+        };
+        self.executor.orders(self.now, link, orders);
+        self.take();
+    }
+
+    fn start(&mut self, link: LinkId, job: u64, indexes: &[u32]) {
+        let task = |index: &u32| proto::TaskStart {
+            index: *index,
+            attempt: 1,
+            checkpoint: String::new(),
+        };
+        let starts = vec![proto::StartTasks {
+            job,
+            spec: "x".to_owned(),
+            demand: Some(proto::Demand {
+                cpu_milli: 1000,
+                memory_mb: 10,
+                gpu: 0,
+            }),
+            tasks: indexes.iter().map(task).collect(),
+            slack_ms: 5000,
+            estimate_ms: 100,
+            ..proto::StartTasks::default()
+        }];
+        let orders = proto::Orders {
+            starts,
+            sequence: 1,
+            ..proto::Orders::default()
+        };
+        self.orders(link, orders);
+    }
+
+    fn claim(&mut self, link: LinkId, job: u64) {
+        let orders = proto::Orders {
+            claims: vec![job],
+            ..proto::Orders::default()
+        };
+        self.orders(link, orders);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        self.executor.tick(self.now);
+        self.take();
+    }
+
+    fn started(&mut self) -> Vec<RunName> {
+        let starts = self.actions.iter().filter_map(|a| match a {
+            Action::Start(call) => Some(call.run),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn stopped(&mut self) -> Vec<RunName> {
+        let stops = self.actions.iter().filter_map(|a| match a {
+            Action::Stop(_, run, _) => Some(*run),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    fn updates(&self, link: LinkId) -> Vec<proto::Update> {
+        let sent = self.actions.iter().filter_map(|a| match a {
+            Action::Send(to, Body::Update(update)) if *to == link => Some(update.clone()),
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    fn ends(&self, link: LinkId) -> Vec<(u64, EndKind)> {
+        let updates = self.updates(link);
+        let ends = updates.iter().flat_map(|u| u.ends.iter());
+        let end = |e: &proto::TaskEnd| (e.number, EndKind::from_code(e.kind).expect("a kind"));
+        ends.map(end).collect()
+    }
+}
+
+fn run(job: u64, index: u32, run: u32) -> RunName {
+    RunName {
+        task: TaskName {
+            job: JobNumber(job),
+            occurrence: 0,
+            step: 0,
+            index,
+        },
+        run,
+    }
+}
+
+fn finished(number: u64, run: RunName, end: WorkerEnd) -> FinishedRow {
+    FinishedRow {
+        number,
+        run,
+        end,
+        checkpoint: String::new(),
+    }
+}
+
+#[test]
+fn test_executor_starts_only_what_fits() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0, 1, 2]);
+    assert_eq!(bench.started(), [run(1, 0, 1), run(1, 1, 1)]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench
+        .executor
+        .started(bench.now, run(1, 1, 1), OrderReply::Done(1));
+    bench.lists(
+        &[run(1, 1, 1)],
+        vec![finished(1, run(1, 0, 1), WorkerEnd::Done)],
+    );
+    assert_eq!(bench.started().len(), 3, "the end has made room");
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Done)]);
+}
+
+#[test]
+fn test_executor_holds_the_room_of_an_unanswered_start() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0, 1]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::NoAnswer);
+    bench
+        .executor
+        .started(bench.now, run(1, 1, 1), OrderReply::Done(1));
+    bench.take();
+    assert_eq!(bench.stopped(), [run(1, 0, 1)]);
+    bench.start(ONE, 2, &[0]);
+    bench.lists(&[run(1, 1, 1)], Vec::new());
+    assert_eq!(bench.started().len(), 2, "the stop is not confirmed");
+    bench
+        .executor
+        .stopped(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.lists(&[run(1, 1, 1)], Vec::new());
+    assert_eq!(
+        bench.started().len(),
+        2,
+        "this hold was sent before the stop was confirmed"
+    );
+    bench.lists(&[run(1, 1, 1)], Vec::new());
+    assert_eq!(bench.started().len(), 3, "now nothing can run of it");
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Stalled)]);
+}
+
+#[test]
+fn test_executor_keeps_a_run_whose_answer_alone_was_lost() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.lists(&[run(1, 0, 1)], Vec::new());
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::NoAnswer);
+    bench.take();
+    assert_eq!(bench.stopped(), []);
+}
+
+#[test]
+fn test_executor_repeats_a_stop_until_it_is_confirmed() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::NoAnswer);
+    bench.pass(50);
+    bench.pass(50);
+    assert!(bench.stopped().len() >= 2, "{:?}", bench.stopped());
+}
+
+#[test]
+fn test_executor_numbers_a_run_above_one_that_ended() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    let old = OrderReply::Refused(StartRefusal::Old);
+    bench.executor.started(bench.now, run(1, 0, 1), old);
+    bench.take();
+    assert_eq!(bench.started(), [run(1, 0, 1), run(1, 0, 2)]);
+}
+
+#[test]
+fn test_executor_raises_its_fence_when_the_worker_saw_a_higher_one() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    let fenced = OrderReply::Refused(StartRefusal::Fence);
+    bench.executor.started(bench.now, run(1, 0, 1), fenced);
+    bench.take();
+    let fences = bench.actions.iter().filter_map(|a| match a {
+        Action::Start(call) => Some(call.fence),
+        _ => None,
+    });
+    let fences: Vec<u64> = fences.collect();
+    assert!(fences[1] > fences[0], "{fences:?}");
+}
+
+#[test]
+fn test_executor_stops_strangers_before_it_starts_anything() {
+    let mut bench = Bench::new();
+    bench.beat("w1", false, 1);
+    bench.link(ONE, "one");
+    bench.lists(&[run(9, 0, 4)], Vec::new());
+    bench.start(ONE, 1, &[0]);
+    assert_eq!(bench.stopped(), [run(9, 0, 4)]);
+    assert_eq!(bench.started(), []);
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Unavailable)]);
+    bench.lists(&[], Vec::new());
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started(), [run(2, 0, 1)]);
+}
+
+#[test]
+fn test_executor_stops_what_runs_when_a_lease_is_over() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    for _ in 0..6 {
+        bench.pass(100);
+        bench.lists(&[run(1, 0, 1)], Vec::new());
+    }
+    assert_eq!(bench.stopped(), []);
+    bench.pass(150);
+    assert_eq!(bench.stopped(), [run(1, 0, 1)]);
+}
+
+#[test]
+fn test_executor_refuses_orders_with_an_old_echo() {
+    let mut bench = Bench::ready();
+    bench.now = bench.now + Duration::from_millis(650);
+    let orders = proto::Orders {
+        echo_us: 1,
+        sequence: 1,
+        ..proto::Orders::default()
+    };
+    bench.executor.orders(bench.now, ONE, orders);
+    bench.now = bench.now + Duration::from_millis(100);
+    let late = proto::Orders {
+        echo_us: 1,
+        sequence: 2,
+        starts: vec![proto::StartTasks {
+            job: 1,
+            tasks: vec![proto::TaskStart {
+                index: 0,
+                attempt: 1,
+                checkpoint: String::new(),
+            }],
+            slack_ms: 1000,
+            ..proto::StartTasks::default()
+        }],
+        ..proto::Orders::default()
+    };
+    bench.executor.orders(bench.now, ONE, late);
+    bench.take();
+    assert_eq!(
+        bench.started(),
+        [],
+        "the sender was paused for longer than its lease"
+    );
+}
+
+#[test]
+fn test_executor_gives_nothing_to_a_draining_worker() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0, 1, 2]);
+    bench.beat("w1", true, 2);
+    assert_eq!(
+        bench.ends(ONE),
+        [(1, EndKind::Unavailable)],
+        "what waited goes back"
+    );
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 2);
+    assert_eq!(bench.ends(ONE).len(), 2);
+}
+
+#[test]
+fn test_executor_survives_a_single_lost_answer_of_a_hold() {
+    let mut bench = Bench::ready();
+    bench.held(HoldReply::NoAnswer);
+    bench.start(ONE, 1, &[0]);
+    assert_eq!(bench.started(), [run(1, 0, 1)]);
+    bench.pass(250);
+    bench.held(HoldReply::NoAnswer);
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 1, "now it counts as silent");
+}
+
+#[test]
+fn test_executor_confirms_a_claim_when_nothing_is_left() {
+    let mut bench = Bench::ready();
+    bench.link(TWO, "two");
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.claim(TWO, 1);
+    assert_eq!(bench.stopped(), [run(1, 0, 1)]);
+    let claimed = |b: &Bench| b.updates(TWO).iter().any(|u| u.claimed == [1]);
+    assert!(!claimed(&bench));
+    bench.lists(&[], vec![finished(1, run(1, 0, 1), WorkerEnd::Stopped)]);
+    assert!(claimed(&bench));
+    bench.start(ONE, 1, &[1]);
+    assert_eq!(
+        bench.started().len(),
+        1,
+        "the job belongs to another scheduler"
+    );
+    let kinds: Vec<EndKind> = bench.ends(ONE).iter().map(|e| e.1).collect();
+    assert_eq!(kinds, [EndKind::Claimed, EndKind::Claimed]);
+}
+
+#[test]
+fn test_executor_prefers_the_first_by_name_of_two_claims() {
+    let mut bench = Bench::ready();
+    bench.link(TWO, "two");
+    bench.claim(TWO, 1);
+    bench.claim(ONE, 1);
+    assert!(bench.updates(TWO).iter().any(|u| u.denied == [1]));
+    bench.claim(TWO, 1);
+    assert_eq!(
+        bench
+            .updates(ONE)
+            .iter()
+            .filter(|u| !u.denied.is_empty())
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn test_executor_does_not_confirm_before_it_knows_its_worker() {
+    let mut bench = Bench::new();
+    bench.link(ONE, "one");
+    bench.claim(ONE, 1);
+    assert!(bench.updates(ONE).iter().all(|u| u.claimed.is_empty()));
+    for _ in 0..12 {
+        bench.orders(ONE, proto::Orders::default());
+        bench.pass(100);
+    }
+    assert!(
+        bench.updates(ONE).iter().any(|u| u.claimed == [1]),
+        "by now nothing can run"
+    );
+}
+
+#[test]
+fn test_executor_numbers_ends_over_all_sessions() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.lists(&[], vec![finished(1, run(1, 0, 1), WorkerEnd::Done)]);
+    bench.pass(800);
+    bench.lists(&[], Vec::new());
+    bench.link(TWO, "one");
+    bench.start(TWO, 2, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(2, 0, 1), OrderReply::Done(1));
+    bench.lists(&[], vec![finished(2, run(2, 0, 1), WorkerEnd::Done)]);
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Done)]);
+    assert_eq!(bench.ends(TWO), [(2, EndKind::Done)]);
+}
+
+#[test]
+fn test_executor_trials_back_off() {
+    let mut bench = Bench::ready();
+    let mut tries = Vec::new();
+    let mut number = 0;
+    for step in 0..1200u64 {
+        bench.pass(10);
+        bench.orders(ONE, proto::Orders::default());
+        if step % 10 != 0 {
+            continue;
+        }
+        bench.start(ONE, step + 1, &[0]);
+        let begun = run(step + 1, 0, 1);
+        if bench.started().last() == Some(&begun) {
+            tries.push(step * 10);
+            number += 1;
+            bench
+                .executor
+                .started(bench.now, begun, OrderReply::Done(1));
+            bench.lists(&[], vec![finished(number, begun, WorkerEnd::Failed)]);
+        } else {
+            bench.lists(&[], Vec::new());
+        }
+    }
+    let gaps: Vec<u64> = tries.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(
+        gaps[..2].iter().all(|g| *g <= 100),
+        "healthy at first: {gaps:?}"
+    );
+    assert!(*gaps.last().expect("some trials") >= 3000, "{gaps:?}");
+}
+
+#[test]
+fn test_executor_begins_anew_with_a_new_life_of_its_worker() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.beat("w2", false, 1);
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Lost)]);
+    assert_matches!(bench.actions.last(), Some(_));
+}
--- /dev/null
+++ b/lib/tests/runner/test_scheduler.rs
@@ -0,0 +1,420 @@
+//! The scheduler: jobs that come, wait, come again and end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use stackcourse_lib::dispatch::catalog::Catalog;
+use stackcourse_lib::dispatch::catalog::Queue;
+use stackcourse_lib::dispatch::model::Demand;
+use stackcourse_lib::dispatch::model::EndKind;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::model::JobRequest;
+use stackcourse_lib::dispatch::model::Step;
+use stackcourse_lib::dispatch::model::TaskName;
+use stackcourse_lib::dispatch::scheduler::Action;
+use stackcourse_lib::dispatch::scheduler::CallerId;
+use stackcourse_lib::dispatch::scheduler::Scheduler;
+use stackcourse_lib::dispatch::scheduler::SchedulerSetup;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::prelude::Mono;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+const EXECUTOR: LinkId = LinkId(1);
+const PEER: LinkId = LinkId(2);
+
+struct Bench {
+    scheduler: Scheduler,
+    now: Mono,
+    actions: Vec<Action>,
+    clock_us: u64,
+    last_end: u64,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let setup = SchedulerSetup {
+            name: "s1".to_owned(),
+            zone: "z".to_owned(),
+            address: "a:1".to_owned(),
+            incarnation: 1,
+            silence: Duration::from_millis(700),
+            lapse: Duration::from_millis(1300),
+            started: Mono(1),
+            seed: 1,
+        };
+        let mut bench = Bench {
+            scheduler: Scheduler::new(setup),
+            now: Mono(1),
+            actions: Vec::new(),
+            clock_us: 1,
+            last_end: 0,
+        };
+        bench.scheduler.set_catalog(bench.now, catalog(3));
+        bench
+    }
+
+    /// A scheduler that has been up for long enough not to doubt its past, with an executor of
+    /// four tasks' room.
+    fn ready() -> Bench {
+        let mut bench = Bench::new();
+        bench.link(EXECUTOR, "e1", true);
+        for _ in 0..150 {
+            bench.report(Vec::new());
+            bench.pass(20);
+        }
+        bench.report(Vec::new());
+        bench.actions.clear();
+        bench
+    }
+
+    fn take(&mut self) {
+        let fresh = self.scheduler.take_actions();
+        self.actions.extend(fresh);
+    }
+
+    fn link(&mut self, link: LinkId, name: &str, executor: bool) {
+        let greeting = proto::Greeting {
+            executor,
+            name: name.to_owned(),
+            incarnation: 1,
+            ..proto::Greeting::default()
+        };
+        self.scheduler.link_up(self.now, link, &greeting);
+        self.take();
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        self.scheduler.tick(self.now);
+        self.take();
+    }
+
+    fn update(&mut self, update: proto::Update) {
+        self.clock_us += 1;
+        let update = proto::Update {
+            clock_us: self.clock_us,
+            worker: Some(proto::WorkerReport {
+                service: "s".to_owned(),
+                ready: true,
+                capacity: Some(proto::Demand {
+                    cpu_milli: 4000,
+                    memory_mb: 1000,
+                    gpu: 0,
+                }),
+                free_cpu_milli: 4000,
+                free_memory_mb: 1000,
+                sequence: 1000,
+                ..proto::WorkerReport::default()
+            }),
+            ..update
+        };
+        let body = Body::Update(update);
+        self.scheduler.message(self.now, EXECUTOR, body);
+        self.take();
+    }
+
+    fn report(&mut self, leased: Vec<String>) {
+        self.update(proto::Update {
+            leased,
+            ..proto::Update::default()
+        });
+    }
+
+    fn end(&mut self, task: TaskName, attempt: u32, kind: EndKind) {
+        self.last_end += 1;
+        let end = proto::TaskEnd {
+            number: self.last_end,
+            task: Some(task.proto(attempt)),
+            kind: kind.code(),
+            ran_us: 1000,
+            ..proto::TaskEnd::default()
+        };
+        self.update(proto::Update {
+            ends: vec![end],
+            ..proto::Update::default()
+        });
+    }
+
+    fn peer(&mut self, update: proto::PeerUpdate) {
+        let body = Body::Peer(update);
+        self.scheduler.message(self.now, PEER, body);
+        self.take();
+    }
+
+    fn submit(&mut self, caller: u64, number: u64, tasks: u32) {
+        let request = JobRequest {
+            number: JobNumber(number),
+            queue: "q".to_owned(),
+            spec: Rc::from("x"),
+            steps: vec![Step {
+                count: tasks,
+                demand: Demand {
+                    cpu_milli: 1000,
+                    memory_mb: 10,
+                    gpu: 0,
+                },
+                estimate_ms: 100,
+                ..Step::default()
+            }],
+            patience_ms: 3000,
+        };
+        self.scheduler.submit(self.now, CallerId(caller), request);
+        self.take();
+    }
+
+    fn answers(&self) -> Vec<(u64, JobOutcome)> {
+        let answers = self.actions.iter().filter_map(|a| match a {
+            Action::Answer(caller, outcome) => Some((caller.0, *outcome)),
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    fn orders(&self) -> Vec<proto::Orders> {
+        let orders = self.actions.iter().filter_map(|a| match a {
+            Action::Send(_, body) => match &**body {
+                Body::Orders(orders) => Some(orders.clone()),
+                _ => None,
+            },
+            _ => None,
+        });
+        orders.collect()
+    }
+
+    fn starts(&self) -> Vec<(u64, u32, u32)> {
+        let orders = self.orders();
+        let starts = orders.iter().flat_map(|o| o.starts.iter());
+        let tasks = starts.flat_map(|s| s.tasks.iter().map(|t| (s.job, t.index, t.attempt)));
+        tasks.collect()
+    }
+}
+
+fn catalog(version: u64) -> Catalog {
+    let queue = Queue {
+        name: "q".to_owned(),
+        service: "s".to_owned(),
+        max_attempts: 2,
+        extension: 1.6,
+        objective_ms: 60,
+        ..Queue::default()
+    };
+    Catalog {
+        version,
+        queues: vec![queue],
+        ..Catalog::default()
+    }
+}
+
+fn task(job: u64, index: u32) -> TaskName {
+    TaskName {
+        job: JobNumber(job),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+#[test]
+fn test_scheduler_completes_a_job_when_all_tasks_are_done() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 2);
+    assert_eq!(bench.starts(), [(7, 0, 1), (7, 1, 1)]);
+    bench.end(task(7, 0), 1, EndKind::Done);
+    assert_eq!(bench.answers(), []);
+    bench.end(task(7, 1), 1, EndKind::Done);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+}
+
+#[test]
+fn test_scheduler_gives_the_same_answer_to_a_job_that_comes_again() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 1);
+    bench.submit(2, 7, 1);
+    bench.end(task(7, 0), 1, EndKind::Done);
+    bench.submit(3, 7, 1);
+    let expected: Vec<(u64, JobOutcome)> = (1..=3).map(|c| (c, JobOutcome::Completed)).collect();
+    assert_eq!(bench.answers(), expected);
+    assert_eq!(bench.starts().len(), 1);
+}
+
+#[test]
+fn test_scheduler_fails_a_job_whose_task_has_failed_often() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 1);
+    bench.end(task(7, 0), 1, EndKind::Failed);
+    assert_eq!(bench.answers(), []);
+    // The only executor is the one where it failed; a second one takes the next try.
+    bench.link(LinkId(9), "e2", true);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_refuses_what_finds_no_room_and_says_when_to_come_back() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 1, 4);
+    bench.submit(2, 2, 4);
+    for _ in 0..20 {
+        bench.pass(20);
+    }
+    let answers = bench.answers();
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert!(matches!(answers[0], (2, JobOutcome::Refused(ms)) if ms >= 400));
+    assert!(bench.starts().iter().all(|s| s.0 == 1));
+}
+
+#[test]
+fn test_scheduler_places_a_task_again_that_was_lost() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 1);
+    bench.end(task(7, 0), 1, EndKind::Unavailable);
+    bench.report(Vec::new());
+    assert_eq!(bench.starts(), [(7, 0, 1), (7, 0, 2)]);
+    bench.end(task(7, 0), 1, EndKind::Done);
+    assert_eq!(
+        bench.answers(),
+        [],
+        "the end of an earlier try does not count"
+    );
+    bench.end(task(7, 0), 2, EndKind::Done);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+}
+
+#[test]
+fn test_scheduler_stops_a_job_whose_caller_has_left() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 2);
+    bench
+        .scheduler
+        .caller_left(bench.now, CallerId(1), JobNumber(7));
+    bench.take();
+    let stops: usize = bench.orders().iter().map(|o| o.stops.len()).sum();
+    assert_eq!(stops, 2);
+}
+
+#[test]
+fn test_scheduler_claims_a_job_before_it_runs_again_after_it_was_given_up() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 1);
+    bench
+        .scheduler
+        .caller_left(bench.now, CallerId(1), JobNumber(7));
+    bench.take();
+    bench.actions.clear();
+    bench.submit(2, 7, 1);
+    assert_eq!(bench.starts(), [], "the earlier run may not have ended");
+    assert!(bench.orders().iter().any(|o| o.renewals == [7]));
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_follows_a_job_that_a_peer_has() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        jobs: vec![7],
+        ..proto::PeerUpdate::default()
+    });
+    bench.submit(1, 7, 1);
+    assert_eq!(bench.starts(), []);
+    let outcome = JobOutcome::Completed.code();
+    bench.peer(proto::PeerUpdate {
+        ends: vec![proto::JobEnd { job: 7, outcome }],
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+}
+
+#[test]
+fn test_scheduler_claims_a_job_of_a_peer_that_is_away() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        jobs: vec![7],
+        ..proto::PeerUpdate::default()
+    });
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit(1, 7, 1);
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    assert_eq!(bench.starts(), [], "the peer may not have noticed yet");
+    for _ in 0..70 {
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    // By then the job can't be in time any more and is turned away without a start.
+    assert_eq!(bench.starts(), []);
+    assert_eq!(bench.answers().len(), 1);
+}
+
+#[test]
+fn test_scheduler_doubts_new_jobs_while_an_executor_hears_a_peer_it_can_not_hear() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..50 {
+        bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+        bench.pass(20);
+    }
+    bench.submit(1, 7, 1);
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_never_goes_back_to_an_older_catalog() {
+    let mut bench = Bench::ready();
+    bench.scheduler.set_catalog(bench.now, catalog(9));
+    bench.scheduler.set_catalog(bench.now, catalog(8));
+    assert_eq!(bench.scheduler.version(), 9);
+    bench.link(PEER, "s2", false);
+    let older = serde_json::to_vec(&catalog(4)).expect("JSON");
+    bench.peer(proto::PeerUpdate {
+        catalog_version: 4,
+        catalog: older.into(),
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.scheduler.version(), 9);
+    let newer = serde_json::to_vec(&catalog(12)).expect("JSON");
+    bench.peer(proto::PeerUpdate {
+        catalog_version: 12,
+        catalog: newer.into(),
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(
+        bench.scheduler.version(),
+        12,
+        "a peer's newer one is taken up"
+    );
+}
+
+#[test]
+fn test_scheduler_that_leaves_takes_only_what_ends_before_it() {
+    let mut bench = Bench::ready();
+    let ends_at = bench.now + Duration::from_millis(400);
+    bench.scheduler.leave(bench.now, ends_at);
+    assert!(!bench.scheduler.is_ready());
+    bench.submit(1, 1, 1);
+    assert_eq!(bench.starts().len(), 1);
+    bench.now = bench.now + Duration::from_millis(200);
+    bench.submit(2, 2, 1);
+    assert!(matches!(bench.answers()[..], [(2, JobOutcome::Refused(_))]));
+}
+
+#[test]
+fn test_scheduler_that_was_paused_gives_up_its_links() {
+    let mut bench = Bench::ready();
+    bench.now = bench.now + Duration::from_secs(3);
+    bench.report(Vec::new());
+    bench.submit(1, 7, 1);
+    assert!(bench.actions.contains(&Action::Close(EXECUTOR)));
+    assert_eq!(bench.starts(), [], "an old report is no sign of life");
+}
