workspace: inline unit tests move to test files

Cause: 18 modules had their tests at their foot, against the project's style. Change: each stands in a file of its own beside its module; assertions are the same. The test of the draining worker waited for a fixed time, and failed once beside a full load, when the beat that says so had not yet come: it now waits for the agent to say so and then counts every start at that worker, which the old check did not.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -171,15 +171,22 @@
 async fn test_platform_draining_worker_gets_nothing_new() {
     let fleet = Fleet::start(binary(), 1, 2).await;
     fleet.workers.lock().unwrap().models[0].draining = true;
-    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    eventually("the agent tells of it", async || {
+        fleet.agents[0].log_text().contains("SC422")
+    })
+    .await;
+    let before = fleet.workers.lock().unwrap().models[0].begun;
     for number in 1..6 {
         let entry = fleet.entries[0].callers();
         let got = callers::hand_in(&fleet.workers, entry, job(number, 3, 30)).await;
         assert_eq!(got.state, "completed");
     }
-    let log = fleet.agents[0].log_text();
-    assert!(log.contains("SC422"), "the agent tells of it: {log}");
-    assert_eq!(fleet.workers.lock().unwrap().models[0].running.len(), 0);
+    let workers = fleet.workers.lock().unwrap();
+    assert_eq!(
+        workers.models[0].begun, before,
+        "nothing new has begun there"
+    );
+    assert!(workers.models[1].begun >= 15);
 }
 
 #[actix_rt::test]
--- /dev/null
+++ b/lib/daemon/src/settings/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of `settings`.
+
+use super::*;
+
+#[test]
+fn test_settings_report_all_findings_together() {
+    let text = br#"{"name": "e 1", "http": "localhost:80", "listen": "127.0.0.1:1",
+        "store": "http://127.0.0.1:8500", "confirm_ms": 1500, "colour": 3,
+        "policy": "best"}"#;
+    let error = EntrySettings::parse("e.json", text).unwrap_err();
+    let SettingsError::Findings(list) = error else {
+        panic!("other error");
+    };
+    let lines: Vec<String> = list.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn test_settings_of_an_agent_have_defaults() {
+    let text = br#"{"name": "w1", "zone": "z", "hall": "h", "room": {"slots": 8},
+        "entries": ["127.0.0.1:7001"], "backend": "http://127.0.0.1:9000"}"#;
+    let settings = AgentSettings::parse("a.json", text).unwrap();
+    assert_eq!((settings.connections, settings.setup.room.slots), (60, 8));
+    assert_eq!(settings.http, None);
+}
--- /dev/null
+++ b/lib/src/grants/tests.rs
@@ -0,0 +1,36 @@
+//! Tests of `grants`.
+
+use super::*;
+
+#[test]
+fn test_grant_counts_from_the_request() {
+    let mut grant = Grant::default();
+    let seq = grant.ask(Mono(1_000_000));
+    grant.granted(seq, 4, Duration::from_secs(3));
+    assert!(grant.permits(Mono(3_999_999), 4));
+    assert!(!grant.permits(Mono(4_000_000), 4));
+    assert!(!grant.permits(Mono(2_000_000), 3));
+}
+
+#[test]
+fn test_grant_rides_on_starts() {
+    let mut grant = Grant::default();
+    let seq = grant.ask(Mono(0));
+    let (since, remain) = (Duration::from_secs(3), Duration::from_secs(1));
+    grant.extend(seq, since, 2, remain);
+    assert!(grant.permits(Mono(3_999_999), 2));
+    assert!(!grant.permits(Mono(4_000_000), 2));
+    // A start of an earlier tenure that comes late gives nothing back.
+    grant.extend(seq, since * 9, 1, remain);
+    assert!(!grant.permits(Mono(4_000_000), 1));
+}
+
+#[test]
+fn test_grant_ignores_answers_to_forgotten_requests() {
+    let mut grant = Grant::default();
+    let first = grant.ask(Mono(0));
+    let second = grant.ask(Mono(10));
+    grant.granted(second, 1, Duration::from_secs(1));
+    grant.granted(first, 9, Duration::from_secs(9));
+    assert_eq!(grant.tenure(), 1);
+}
--- /dev/null
+++ b/lib/src/health/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of `health`.
+
+use super::*;
+
+const PEERS: Peers = Peers {
+    mean: 0.4,
+    failures: 0.0,
+};
+
+fn at(ms: u64) -> Mono {
+    Mono(ms * 1000)
+}
+
+#[test]
+fn test_health_notices_a_stall_without_any_answer() {
+    let mut health = Health::default();
+    for _ in 0..8 {
+        health.begin(at(0), 1.0);
+    }
+    assert_eq!(health.judge(at(200), PEERS, true), None);
+    assert_eq!(health.judge(at(1_500), PEERS, true), Some(true));
+    assert!(!health.open(at(1_600)));
+}
+
+#[test]
+fn test_health_notices_fast_failures() {
+    let mut health = Health::default();
+    for i in 0..6 {
+        health.begin(at(i * 10), 1.0);
+        health.end(at(i * 10 + 5), at(i * 10), 1.0, true, Some(PEERS));
+    }
+    assert_eq!(health.judge(at(100), PEERS, true), Some(true));
+}
+
+#[test]
+fn test_health_comes_back_after_good_trials() {
+    let mut health = Health::default();
+    for _ in 0..8 {
+        health.begin(at(0), 1.0);
+    }
+    health.judge(at(2_000), PEERS, true);
+    for _ in 0..8 {
+        health.end(at(2_100), at(0), 1.0, false, Some(PEERS));
+    }
+    let mut now = 10_000;
+    while health.sick() {
+        assert!(now < 20_000, "the worker never came back");
+        if health.open(at(now)) {
+            health.begin(at(now), 1.0);
+            health.end(at(now + 300), at(now), 1.0, false, Some(PEERS));
+            health.judge(at(now + 300), PEERS, true);
+        }
+        now += 400;
+    }
+}
+
+#[test]
+fn test_health_bears_one_long_task() {
+    let mut health = Health::default();
+    health.begin(at(0), 1.0);
+    assert_eq!(health.judge(at(2_000), PEERS, true), None);
+}
--- /dev/null
+++ b/lib/src/ownership/tests.rs
@@ -0,0 +1,80 @@
+//! Tests of `ownership`.
+
+use super::*;
+
+fn member(name: &str, incarnation: u64) -> Member {
+    Member {
+        name: name.into(),
+        incarnation,
+        address: String::new(),
+        http: String::new(),
+        zone: String::new(),
+    }
+}
+
+fn three() -> OwnershipRecord {
+    let mut record = OwnershipRecord::new(8);
+    for (name, inc) in [("a", 1), ("b", 2), ("c", 3)] {
+        record.join(member(name, inc));
+    }
+    record
+}
+
+#[test]
+fn test_ownership_gathers_on_few_owners() {
+    let mut record = three();
+    record.settle(&[1, 2, 3], 1);
+    assert_eq!(record.owned(1).len(), 8);
+    assert!(record.moves(&[1, 2, 3], 1).is_empty());
+    assert_eq!(record.moves(&[2, 3], 1).len(), 8);
+}
+
+#[test]
+fn test_ownership_spreads_evenly() {
+    let mut record = three();
+    record.settle(&[1, 2], 0);
+    assert_eq!((record.owned(1).len(), record.owned(2).len()), (4, 4));
+    let moves = record.moves(&[1, 2, 3], 0);
+    for (shard, to) in moves {
+        record.hand(shard, to);
+    }
+    assert!(record.owned(3).len() >= 2);
+    assert!(record.moves(&[1, 2, 3], 0).is_empty());
+}
+
+#[test]
+fn test_ownership_cut_raises_epochs_and_names_the_former_owner() {
+    let mut record = three();
+    record.settle(&[1, 2], 0);
+    let before = record.owned(1);
+    record.cut(1, 77);
+    record.settle(&[2, 3], 0);
+    for (shard, epoch) in before {
+        let slot = record.slot(shard);
+        assert!(slot.epoch > epoch.0);
+        assert_eq!(slot.cut[0].owner, 1);
+    }
+    assert!(record.member(1).is_none());
+    record.forget_cuts(78);
+    assert!(record.shards.iter().all(|s| s.cut.is_empty()));
+}
+
+#[test]
+fn test_roster_keeps_replaced_incarnations_as_gone() {
+    let mut roster = Roster::default();
+    let agent = |incarnation| RosterAgent {
+        name: "w1".into(),
+        incarnation,
+        slots: 8,
+        born_ms: incarnation,
+    };
+    roster.enrol(agent(10), 5);
+    roster.enrol(agent(11), 9);
+    assert!(!roster.enrol(agent(10), 10));
+    assert!(roster.lists(11) && !roster.lists(10));
+    assert_eq!(roster.gone[0].until_ms, 9);
+    roster.enrol(agent(11), 12);
+    assert_eq!(roster.gone.len(), 1);
+    roster.forget(10);
+    assert!(roster.gone.is_empty());
+}
--- /dev/null
+++ b/lib/src/quota/tests.rs
@@ -0,0 +1,59 @@
+//! Tests of `quota`.
+
+use super::*;
+
+static SEQ: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+
+fn ask(holder: u64, used: u32, want: u32, have: u32) -> ShareAsk {
+    let seq = SEQ.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    ShareAsk {
+        holder,
+        seq,
+        used,
+        want,
+        have,
+    }
+}
+
+fn at(ms: u64) -> Mono {
+    Mono(ms * 1000)
+}
+
+#[test]
+fn test_quota_idle_share_moves_to_demand() {
+    let mut allocator = Allocator::first();
+    assert_eq!(allocator.ask(at(1), 10, ask(1, 0, 30, 0)), 10);
+    assert_eq!(allocator.ask(at(2), 10, ask(2, 0, 30, 0)), 0);
+    let kept = allocator.ask(at(3), 10, ask(1, 2, 30, 10));
+    assert_eq!(kept, 5);
+    assert_eq!(allocator.ask(at(4), 10, ask(2, 0, 30, 0)), 0);
+    allocator.ask(at(5), 10, ask(1, 2, 30, 5));
+    assert_eq!(allocator.ask(at(6), 10, ask(2, 0, 30, 0)), 5);
+}
+
+#[test]
+fn test_quota_of_a_silent_holder_is_reserved() {
+    let mut allocator = Allocator::first();
+    allocator.ask(at(0), 10, ask(1, 0, 10, 0));
+    assert_eq!(allocator.ask(at(3_000), 10, ask(2, 0, 10, 0)), 0);
+    assert_eq!(allocator.ask(at(9_000), 10, ask(2, 0, 10, 0)), 10);
+}
+
+#[test]
+fn test_quota_new_allocator_confirms_before_it_gives() {
+    let mut allocator = Allocator::new(at(1_000));
+    assert_eq!(allocator.ask(at(1_100), 10, ask(1, 1, 9, 0)), 0);
+    assert_eq!(allocator.ask(at(1_200), 10, ask(2, 4, 9, 6)), 6);
+    assert_eq!(allocator.ask(at(4_000), 10, ask(1, 1, 9, 0)), 4);
+}
+
+#[test]
+fn test_share_lapses_on_the_holders_clock() {
+    let mut share = Share::default();
+    let seq = share.ask(at(0));
+    share.granted(seq, 2, SHARE_SPAN);
+    assert!(share.open(at(1_999)));
+    assert!(!share.open(at(2_000)));
+    share.granted(seq, 9, SHARE_SPAN);
+    assert_eq!(share.have(at(10)), 2);
+}
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -50,6 +50,8 @@
     pub pace: f64,
     /// Whether all that is started fails.
     pub sick: bool,
+    /// How many runs have begun.
+    pub begun: u64,
     /// What runs.
     pub running: BTreeMap<TaskName, ModelRun>,
     fence: u64,
@@ -69,6 +71,7 @@
             draining: false,
             pace: 1.0,
             sick: false,
+            begun: 0,
             running: BTreeMap::new(),
             fence: 0,
             held_until: 0,
@@ -118,6 +121,7 @@
             fails: fails || self.sick,
             stopping: None,
         };
+        self.begun += 1;
         self.running.insert(task, begun);
         (OrderReply::Done(now / 1000), true)
     }
--- a/lib/testutils/src/workload.rs
+++ b/lib/testutils/src/workload.rs
@@ -130,30 +130,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn test_ideal_queue_waits_only_when_all_slots_are_taken() {
-        let arrival = |at, times: &[u64]| Arrival {
-            at: Duration::from_millis(at),
-            times: times.to_vec(),
-            service: String::new(),
-            again: false,
-        };
-        let jobs = [arrival(0, &[100, 50]), arrival(10, &[20])];
-        let responses = ideal_queue(&jobs, 2);
-        assert_eq!(responses[0], Duration::from_millis(100));
-        assert_eq!(responses[1], Duration::from_millis(60));
-    }
-
-    #[test]
-    fn test_workload_is_reproduced_by_its_seed() {
-        let plan = WorkloadPlan::brief(3, 100.0, 20.0);
-        let (one, two) = (draw(&plan), draw(&plan));
-        assert_eq!(one.len(), two.len());
-        let tasks: usize = one.iter().map(|a| a.times.len()).sum();
-        let rate = tasks as f64 / plan.seconds;
-        assert!((70.0..130.0).contains(&rate), "{rate}");
-    }
-}
+mod tests;
