agent: a worker that drains when it is first met is told of

Cause: the test of the draining worker failed whenever the worker had begun to drain before its first beat arrived (an agent that was started anew meets such workers): nothing was logged. It had failed once before, beside a full load, and was not traced then.

Ruled out: lost beats (the metrics and a beat by hand showed that they arrive).

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -420,6 +420,9 @@
         }
         let detail = format!("{} of {}", beat.life, beat.service);
         self.log(Kind::WorkerUp, detail);
+        if beat.draining {
+            self.log(Kind::WorkerDraining, beat.life.clone());
+        }
         self.health = Health::default();
         self.unclean_since = now;
         self.worker = Some(Worker {
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -18,6 +18,7 @@
 use stackcourse_lib::dispatch::model::EndKind;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::TaskName;
+use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::LinkId;
 use stackcourse_lib::prelude::Mono;
 use stackcourse_lib::protos::dispatch as proto;
@@ -389,6 +390,14 @@
     assert_eq!(bench.ends(ONE).len(), 2);
 }
 
+#[test]
+fn test_executor_tells_of_a_worker_that_drains_when_it_is_met() {
+    let mut bench = Bench::new();
+    bench.beat("w1", true, 1);
+    let told = |a: &Action| matches!(a, Action::Log(e) if e.kind == Kind::WorkerDraining);
+    assert!(bench.actions.iter().any(told));
+}
+
 #[test]
 fn test_executor_survives_a_single_lost_answer_of_a_hold() {
     let mut bench = Bench::ready();
