--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -5,7 +5,9 @@
 //! is none. Schedulers hold leases here, measured on the executor's own clock from readings that
 //! they echo; what runs for a scheduler whose lease is over is stopped.
 
+mod claims;
 mod health;
+mod lists;
 mod runs;
 mod sessions;
 
@@ -13,8 +15,8 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use crate::dispatch::executor::claims::Claim;
 use crate::dispatch::executor::health::Health;
-use crate::dispatch::executor::runs::Claim;
 use crate::dispatch::executor::runs::Run;
 use crate::dispatch::executor::runs::Waiting;
 use crate::dispatch::executor::sessions::Session;
@@ -249,6 +251,9 @@
 /// Calls of a job in another scheduler's favour are remembered for this long.
 const CLAIM_MEMORY: Duration = Duration::from_secs(20);
 
+/// The worker's clock may be this much slow.
+const LAPSE_FACTOR: f64 = 1.1;
+
 /// The worker, in its present life.
 #[derive(Debug, Default)]
 struct Worker {
--- /dev/null
+++ b/lib/src/dispatch/executor/lists.rs
@@ -0,0 +1,194 @@
+//! Reading the worker's lists: which runs there are, which have ended, and when it is silent.
+
+use super::Executor;
+use super::FinishedRow;
+use super::HoldReply;
+use super::LAPSE_FACTOR;
+use super::RunName;
+use super::RunState;
+use super::RunningRow;
+use super::WorkerEnd;
+use super::runs::Run;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::TaskName;
+use crate::event::Kind;
+use crate::prelude::*;
+
+/// Single answers can be lost; a worker that gives none for this long counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(200);
+/// A worker that does not answer is asked again after this long.
+const ASK_AGAIN: Duration = Duration::from_millis(40);
+/// A worker that can't be reached at all for this long is gone.
+const GONE_AFTER: Duration = Duration::from_millis(150);
+
+impl Executor {
+    /// The reply to a hold.
+    pub fn held(&mut self, now: Mono, reply: HoldReply) {
+        self.holding = false;
+        self.hold_at = now;
+        match reply {
+            HoldReply::Lists {
+                clock_ms,
+                running,
+                finished,
+            } => self.read_lists(now, clock_ms, &running, finished),
+            HoldReply::Fenced => self.raise_fence(),
+            HoldReply::WrongLife | HoldReply::NoAnswer | HoldReply::Unreachable => {
+                self.worker_silent(now, &reply);
+            }
+        }
+        self.work(now);
+    }
+
+    fn worker_silent(&mut self, now: Mono, reply: &HoldReply) {
+        let lapse = self.setup.worker_hold.mul_f64(LAPSE_FACTOR);
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        let since = *worker.silent_since.get_or_insert(now);
+        let long = now.since(since) >= SILENT_AFTER;
+        let refused = *reply != HoldReply::NoAnswer;
+        if long || refused {
+            self.hold_at = now + ASK_AGAIN;
+        }
+        if worker.answers && (long || refused) {
+            worker.answers = false;
+            let detail = format!("{}: {reply:?}", worker.beat.life);
+            self.log(Kind::WorkerSilent, detail);
+        }
+        let gone = *reply != HoldReply::NoAnswer && now.since(since) >= GONE_AFTER;
+        if gone || now.since(since) >= lapse {
+            self.forget_runs(now);
+            self.return_queue(now);
+        }
+    }
+
+    /// Nothing runs any more: the worker is gone, or has not been asked to keep anything alive.
+    fn forget_runs(&mut self, now: Mono) {
+        if let Some(worker) = &mut self.worker {
+            worker.clean = false;
+            self.unclean_since = now;
+        }
+        let names: Vec<TaskName> = self.runs.keys().copied().collect();
+        for name in names {
+            self.end_run_lost(now, name);
+        }
+    }
+
+    fn read_lists(
+        &mut self,
+        now: Mono,
+        clock_ms: u64,
+        running: &[RunningRow],
+        finished: Vec<FinishedRow>,
+    ) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        worker.clock = Some((clock_ms, now));
+        worker.silent_since = None;
+        let back = !worker.answers;
+        worker.answers = true;
+        if back {
+            self.log(Kind::WorkerAnswers, self.life());
+        }
+        for row in finished {
+            self.read_end(now, row);
+        }
+        for row in running {
+            self.read_running(now, row);
+        }
+        self.drop_unlisted(now, running);
+        self.settle_life(running);
+        self.settle_claims(now);
+    }
+
+    fn read_end(&mut self, now: Mono, row: FinishedRow) {
+        if let Some(worker) = &mut self.worker {
+            if row.number <= worker.seen {
+                return;
+            }
+            worker.seen = row.number;
+        }
+        let Some(run) = self.runs.get(&row.run.task) else {
+            return;
+        };
+        if run.run != row.run.run {
+            return;
+        }
+        let kind = match (row.end, run.state) {
+            (WorkerEnd::Done, _) => EndKind::Done,
+            (WorkerEnd::Failed, _) => EndKind::Failed,
+            (_, RunState::Stopping { why, .. }) => why,
+            (WorkerEnd::Stopped | WorkerEnd::Lapsed, _) => EndKind::Lost,
+        };
+        self.learn(now, &row, kind);
+        self.finish_run(now, row.run.task, kind, row.checkpoint);
+    }
+
+    fn learn(&mut self, now: Mono, row: &FinishedRow, kind: EndKind) {
+        let run = &self.runs[&row.run.task];
+        let (ran, estimate) = (now.since(run.began), run.estimate);
+        match kind {
+            EndKind::Done => self.health.done(ran, estimate),
+            EndKind::Failed => self.health.failed(now, row.run.task.job),
+            _ => {}
+        }
+    }
+
+    fn read_running(&mut self, now: Mono, row: &RunningRow) {
+        let known = self.runs.get_mut(&row.run.task);
+        let Some(run) = known.filter(|r| r.run == row.run.run) else {
+            return self.stop_stranger(row.run);
+        };
+        if run.state == RunState::Starting {
+            run.state = RunState::Running;
+            run.listed_by = self.holds;
+        }
+        if row.percent != run.percent {
+            run.percent = row.percent;
+            run.moved = now;
+            let ran = now.since(run.began);
+            self.health.progress(ran, row.percent, run.estimate);
+        }
+    }
+
+    /// Stops a run that nobody here has started: an earlier executor's, or an order that was
+    /// carried out late.
+    fn stop_stranger(&mut self, name: RunName) {
+        self.counts.strangers += 1;
+        let detail = format!("{} run {}", name.task, name.run);
+        self.log(Kind::StrangerRun, detail);
+        self.send_stop(name);
+    }
+
+    /// Ends runs that the worker does not list although it should.
+    fn drop_unlisted(&mut self, now: Mono, running: &[RunningRow]) {
+        let holds = self.holds;
+        let gone = |task: &TaskName, run: &Run| {
+            let after = match run.state {
+                RunState::Starting => return false,
+                RunState::Running => run.listed_by,
+                RunState::Stopping { confirmed, .. } => confirmed.unwrap_or(u64::MAX),
+            };
+            let listed = |r: &RunningRow| r.run.task == *task && r.run.run == run.run;
+            holds > after && !running.iter().any(listed)
+        };
+        let names = self.runs.iter().filter(|(t, r)| gone(t, r));
+        let names: Vec<TaskName> = names.map(|(t, _)| *t).collect();
+        for name in names {
+            self.end_run_lost(now, name);
+        }
+    }
+
+    /// An executor that has just met its worker waits until nothing of an earlier one runs.
+    fn settle_life(&mut self, running: &[RunningRow]) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if !worker.clean && running.is_empty() {
+            worker.clean = true;
+            self.log(Kind::WorkerReady, self.life());
+        }
+    }
+}
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -1,21 +1,15 @@
-//! Runs at the worker: starting, stopping, and reading the worker's lists.
+//! Runs at the worker: waiting for room, starting, stopping.
 
 use std::rc::Rc;
 
 use super::Action;
-use super::CLAIM_MEMORY;
 use super::Executor;
-use super::HoldReply;
 use super::OrderReply;
 use super::RunName;
 use super::StartCall;
 use super::StartRefusal;
-use super::WorkerEnd;
-use crate::dispatch::executor::FinishedRow;
-use crate::dispatch::executor::RunningRow;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
-use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
 use crate::event::Kind;
 use crate::prelude::*;
@@ -24,10 +18,6 @@
 const STOP_AGAIN: Duration = Duration::from_millis(40);
 /// A start must begin within this time on the worker's clock.
 const START_WITHIN: Duration = Duration::from_millis(700);
-/// Single answers can be lost; a worker that gives none for this long counts as silent.
-const SILENT_AFTER: Duration = Duration::from_millis(200);
-/// A worker that does not answer is asked again after this long.
-const ASK_AGAIN: Duration = Duration::from_millis(40);
 /// How far a fencing token is raised when the worker has seen a higher one.
 const FENCE_STEP: u64 = 10_000;
 
@@ -84,16 +74,6 @@
     pub checkpoint: String,
 }
 
-/// A job that a scheduler has claimed.
-#[derive(Clone, Debug)]
-pub(super) struct Claim {
-    pub scheduler: String,
-    pub at: Mono,
-    /// Whether the claimant's own runs are to end as well.
-    pub own: bool,
-    pub told: bool,
-}
-
 impl Executor {
     /// Queues a task, soonest start first.
     pub(super) fn enqueue(&mut self, waiting: Waiting) {
@@ -228,7 +208,7 @@
         self.end_run(now, name.task, why);
     }
 
-    fn raise_fence(&mut self) {
+    pub(super) fn raise_fence(&mut self) {
         self.fence += FENCE_STEP;
         self.log(Kind::FenceRaised, self.fence.to_string());
     }
@@ -259,7 +239,7 @@
         self.send_stop(name);
     }
 
-    fn send_stop(&mut self, name: RunName) {
+    pub(super) fn send_stop(&mut self, name: RunName) {
         self.counts.stops += 1;
         let life = self.life();
         self.actions.push(Action::Stop(life, name, self.fence));
@@ -309,176 +289,6 @@
         }
     }
 
-    /// The reply to a hold.
-    pub fn held(&mut self, now: Mono, reply: HoldReply) {
-        self.holding = false;
-        self.hold_at = now;
-        match reply {
-            HoldReply::Lists {
-                clock_ms,
-                running,
-                finished,
-            } => self.read_lists(now, clock_ms, &running, finished),
-            HoldReply::Fenced => self.raise_fence(),
-            HoldReply::WrongLife | HoldReply::NoAnswer | HoldReply::Unreachable => {
-                self.worker_silent(now, &reply);
-            }
-        }
-        self.work(now);
-    }
-
-    fn worker_silent(&mut self, now: Mono, reply: &HoldReply) {
-        let lapse = self.setup.worker_hold.mul_f64(LAPSE_FACTOR);
-        let Some(worker) = &mut self.worker else {
-            return;
-        };
-        let since = *worker.silent_since.get_or_insert(now);
-        let long = now.since(since) >= SILENT_AFTER;
-        let refused = *reply != HoldReply::NoAnswer;
-        if long || refused {
-            self.hold_at = now + ASK_AGAIN;
-        }
-        if worker.answers && (long || refused) {
-            worker.answers = false;
-            let detail = format!("{}: {reply:?}", worker.beat.life);
-            self.log(Kind::WorkerSilent, detail);
-        }
-        let gone = *reply != HoldReply::NoAnswer && now.since(since) >= GONE_AFTER;
-        if gone || now.since(since) >= lapse {
-            self.forget_runs(now);
-            self.return_queue(now);
-        }
-    }
-
-    /// Nothing runs any more: the worker is gone, or has not been asked to keep anything alive.
-    fn forget_runs(&mut self, now: Mono) {
-        if let Some(worker) = &mut self.worker {
-            worker.clean = false;
-            self.unclean_since = now;
-        }
-        let names: Vec<TaskName> = self.runs.keys().copied().collect();
-        for name in names {
-            self.end_run_lost(now, name);
-        }
-    }
-
-    fn read_lists(
-        &mut self,
-        now: Mono,
-        clock_ms: u64,
-        running: &[RunningRow],
-        finished: Vec<FinishedRow>,
-    ) {
-        let Some(worker) = &mut self.worker else {
-            return;
-        };
-        worker.clock = Some((clock_ms, now));
-        worker.silent_since = None;
-        let back = !worker.answers;
-        worker.answers = true;
-        if back {
-            self.log(Kind::WorkerAnswers, self.life());
-        }
-        for row in finished {
-            self.read_end(now, row);
-        }
-        for row in running {
-            self.read_running(now, row);
-        }
-        self.drop_unlisted(now, running);
-        self.settle_life(running);
-        self.settle_claims(now);
-    }
-
-    fn read_end(&mut self, now: Mono, row: FinishedRow) {
-        if let Some(worker) = &mut self.worker {
-            if row.number <= worker.seen {
-                return;
-            }
-            worker.seen = row.number;
-        }
-        let Some(run) = self.runs.get(&row.run.task) else {
-            return;
-        };
-        if run.run != row.run.run {
-            return;
-        }
-        let kind = match (row.end, run.state) {
-            (WorkerEnd::Done, _) => EndKind::Done,
-            (WorkerEnd::Failed, _) => EndKind::Failed,
-            (_, RunState::Stopping { why, .. }) => why,
-            (WorkerEnd::Stopped | WorkerEnd::Lapsed, _) => EndKind::Lost,
-        };
-        self.learn(now, &row, kind);
-        self.finish_run(now, row.run.task, kind, row.checkpoint);
-    }
-
-    fn learn(&mut self, now: Mono, row: &FinishedRow, kind: EndKind) {
-        let run = &self.runs[&row.run.task];
-        let (ran, estimate) = (now.since(run.began), run.estimate);
-        match kind {
-            EndKind::Done => self.health.done(ran, estimate),
-            EndKind::Failed => self.health.failed(now, row.run.task.job),
-            _ => {}
-        }
-    }
-
-    fn read_running(&mut self, now: Mono, row: &RunningRow) {
-        let known = self.runs.get_mut(&row.run.task);
-        let Some(run) = known.filter(|r| r.run == row.run.run) else {
-            return self.stop_stranger(row.run);
-        };
-        if run.state == RunState::Starting {
-            run.state = RunState::Running;
-            run.listed_by = self.holds;
-        }
-        if row.percent != run.percent {
-            run.percent = row.percent;
-            run.moved = now;
-            let ran = now.since(run.began);
-            self.health.progress(ran, row.percent, run.estimate);
-        }
-    }
-
-    /// Stops a run that nobody here has started: an earlier executor's, or an order that was
-    /// carried out late.
-    fn stop_stranger(&mut self, name: RunName) {
-        self.counts.strangers += 1;
-        let detail = format!("{} run {}", name.task, name.run);
-        self.log(Kind::StrangerRun, detail);
-        self.send_stop(name);
-    }
-
-    /// Ends runs that the worker does not list although it should.
-    fn drop_unlisted(&mut self, now: Mono, running: &[RunningRow]) {
-        let holds = self.holds;
-        let gone = |task: &TaskName, run: &Run| {
-            let after = match run.state {
-                RunState::Starting => return false,
-                RunState::Running => run.listed_by,
-                RunState::Stopping { confirmed, .. } => confirmed.unwrap_or(u64::MAX),
-            };
-            let listed = |r: &RunningRow| r.run.task == *task && r.run.run == run.run;
-            holds > after && !running.iter().any(listed)
-        };
-        let names = self.runs.iter().filter(|(t, r)| gone(t, r));
-        let names: Vec<TaskName> = names.map(|(t, _)| *t).collect();
-        for name in names {
-            self.end_run_lost(now, name);
-        }
-    }
-
-    /// An executor that has just met its worker waits until nothing of an earlier one runs.
-    fn settle_life(&mut self, running: &[RunningRow]) {
-        let Some(worker) = &mut self.worker else {
-            return;
-        };
-        if !worker.clean && running.is_empty() {
-            worker.clean = true;
-            self.log(Kind::WorkerReady, self.life());
-        }
-    }
-
     /// A run is gone without the worker having said how.
     pub(super) fn end_run_lost(&mut self, now: Mono, task: TaskName) {
         let kind = match self.runs.get(&task).map(|r| r.state) {
@@ -488,11 +298,17 @@
         self.end_run(now, task, kind);
     }
 
-    fn end_run(&mut self, now: Mono, task: TaskName, kind: EndKind) {
+    pub(super) fn end_run(&mut self, now: Mono, task: TaskName, kind: EndKind) {
         self.finish_run(now, task, kind, String::new());
     }
 
-    fn finish_run(&mut self, now: Mono, task: TaskName, kind: EndKind, checkpoint: String) {
+    pub(super) fn finish_run(
+        &mut self,
+        now: Mono,
+        task: TaskName,
+        kind: EndKind,
+        checkpoint: String,
+    ) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -507,105 +323,10 @@
         self.tell_end(now, task, &run, kind, checkpoint);
         self.settle_claim(now, task.job);
     }
-
-    /// Remembers that a scheduler claims a job; ends what others have of it.
-    /// With `own`, what the claimant has had of it ends, too. Of two schedulers that claim a job at about the same time, the first by name has it.
-    pub(super) fn claim(&mut self, now: Mono, scheduler: &str, job: JobNumber, own: bool) {
-        let rival = self.claims.get(&job);
-        let rival = rival.filter(|c| c.scheduler != scheduler && now.since(c.at) < RIVALRY);
-        if let Some(rival) = rival.map(|c| c.scheduler.clone())
-            && self.sessions.get(&rival).is_some_and(|s| s.link.is_some())
-        {
-            if rival.as_str() < scheduler {
-                return self.deny(scheduler, job);
-            }
-            self.deny(&rival, job);
-        }
-        let claim = Claim {
-            scheduler: scheduler.to_owned(),
-            at: now,
-            own,
-            told: false,
-        };
-        self.claims.insert(job, claim);
-        let others = |s: &str| own || s != scheduler;
-        let queued = self.queue.iter().filter(|w| w.task.job == job);
-        let queued = queued.filter(|w| others(&w.scheduler)).map(|w| w.task);
-        let running = self.runs.iter().filter(|(t, _)| t.job == job);
-        let running = running
-            .filter(|(_, r)| others(&r.scheduler))
-            .map(|(t, _)| *t);
-        let tasks: Vec<TaskName> = queued.chain(running).collect();
-        for task in tasks {
-            self.stop_task(now, task, EndKind::Claimed);
-        }
-        self.settle_claim(now, job);
-    }
-
-    fn deny(&mut self, scheduler: &str, job: JobNumber) {
-        if let Some(session) = self.sessions.get_mut(scheduler) {
-            session.denied.push(job);
-            session.urgent = true;
-        }
-    }
-
-    /// Whether a job is claimed by another scheduler.
-    pub(super) fn claimed_from(&self, scheduler: &str, job: JobNumber) -> bool {
-        let claim = self.claims.get(&job);
-        claim.is_some_and(|c| c.scheduler != scheduler)
-    }
-
-    /// Tells the claimant once nothing of the job is left that others have started.
-    fn settle_claim(&mut self, now: Mono, job: JobNumber) {
-        if !self.knows_all_runs(now) {
-            return;
-        }
-        let Some(claim) = self.claims.get_mut(&job) else {
-            return;
-        };
-        let (owner, own) = (&claim.scheduler, claim.own);
-        let left = self.runs.iter();
-        let left = left.filter(|(t, r)| t.job == job && (own || r.scheduler != *owner));
-        if claim.told || left.count() > 0 {
-            return;
-        }
-        claim.told = true;
-        if let Some(session) = self.sessions.get_mut(owner) {
-            session.claimed.push(job);
-            session.urgent = true;
-        }
-    }
-
-    /// Whether nothing runs at the worker that is not known here: its lists have been read, or
-    /// nothing that was started before can have lasted until now.
-    fn knows_all_runs(&self, now: Mono) -> bool {
-        let clean = self.worker.as_ref().is_some_and(|w| w.clean);
-        let lapse = self.setup.worker_hold.mul_f64(LAPSE_FACTOR);
-        clean || now.since(self.unclean_since) >= lapse
-    }
-
-    /// Tells of the claims that had to wait until the worker's runs were known.
-    pub(super) fn settle_claims(&mut self, now: Mono) {
-        let open = self.claims.iter().filter(|(_, c)| !c.told);
-        let open: Vec<JobNumber> = open.map(|(job, _)| *job).collect();
-        for job in open {
-            self.settle_claim(now, job);
-        }
-    }
-
-    pub(super) fn expire_claims(&mut self, now: Mono) {
-        self.claims.retain(|_, c| now.since(c.at) < CLAIM_MEMORY);
-    }
 }
 
-/// Claims of two schedulers within this time are at odds; a later one replaces the earlier.
-const RIVALRY: Duration = Duration::from_secs(2);
 /// Run numbers tried above the attempt before a start is given up.
 const MAX_RENUMBER: u32 = 16;
-/// A worker that can't be reached at all for this long is gone.
-const GONE_AFTER: Duration = Duration::from_millis(150);
-/// The worker's clock may be this much slow.
-const LAPSE_FACTOR: f64 = 1.1;
 
 fn less(used: Demand, demand: Demand) -> Demand {
     Demand {
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -5,6 +5,7 @@
 //! Where the other scheduler can't be asked, the job is claimed at the executors first: they end
 //! what the other one runs of it and start nothing more of it.
 
+mod claims;
 mod ends;
 mod fleet;
 mod jobs;
--- /dev/null
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -0,0 +1,187 @@
+//! Claims: when a job may be at work elsewhere, and asking the executors to end that.
+
+use super::Scheduler;
+use super::fleet::ExecutorKey;
+use super::fleet::ExecutorView;
+use super::jobs::Job;
+use super::jobs::Phase;
+use super::peers::Peer;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::event::Kind;
+use crate::prelude::*;
+
+/// Within this time after its start a scheduler has met the executors that can be met.
+const MEETING: Duration = Duration::from_millis(400);
+/// A peer that has not been heard for so long may have jobs that were not announced here.
+const UNHEARD: Duration = Duration::from_millis(600);
+/// A job may be handed in again elsewhere after so long at the earliest.
+const AGAIN_AFTER: Duration = Duration::from_millis(1200);
+/// A scheduler that has started within this time may have had jobs in its life before.
+const YOUNG: Duration = Duration::from_millis(1300);
+
+impl Scheduler {
+    /// Peers that can't be heard here, though some executor hears them: they may be at work.
+    pub(super) fn doubtful(&self) -> Vec<String> {
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        let heard = linked.flat_map(|e| e.leased.iter());
+        let away = heard.filter(|name| **name != self.setup.name && !self.is_linked(name));
+        let mut away: Vec<String> = away.cloned().collect();
+        away.sort_unstable();
+        away.dedup();
+        away
+    }
+
+    /// When a peer was last heard of.
+    fn last_heard(&self, name: &str) -> Mono {
+        let heard = self.peers.get(name).map(|p| p.heard);
+        heard.unwrap_or_default().max(self.setup.started)
+    }
+
+    /// Whether a job that comes in for the first time here may be at work elsewhere without this
+    /// scheduler knowing: it has only just started, or a peer may be at work that has not been
+    /// heard for so long that a job of its may come again here without having been announced.
+    pub(super) fn in_doubt(&self) -> bool {
+        let now = self.now;
+        if now.since(self.setup.started) < YOUNG {
+            return true;
+        }
+        let unheard = |name: &String| now.since(self.last_heard(name)) >= UNHEARD;
+        self.doubtful().iter().any(unheard) || self.is_minority()
+    }
+
+    /// Whether peers can't be heard, and neither can half of the executors: then it can't be known
+    /// here whether those peers are at work.
+    fn is_minority(&self) -> bool {
+        let now = self.now;
+        let away = |p: &Peer| p.link.is_none() && now.since(p.heard) >= UNHEARD;
+        let linked = self.executors.values().filter(|e| e.link.is_some());
+        self.peers.values().any(away) && linked.count() * 2 < self.executors.len()
+    }
+
+    /// Whether a claim must reach every executor that is known: a peer may be at work that could
+    /// use one that can't be reached here.
+    fn must_reach_all(&self) -> bool {
+        !self.doubtful().is_empty() || self.is_minority()
+    }
+
+    /// Whether a job that was placed before may have been taken by a peer meanwhile: it has been
+    /// here for long enough to come again, and some peer was not heard for as long. It has to be
+    /// claimed before anything more of it is placed.
+    pub(super) fn is_exposed(&self, job: &Job) -> bool {
+        let now = self.now;
+        now.since(job.safe_since) >= AGAIN_AFTER && self.gap > job.safe_since
+    }
+
+    /// Notes whether some peer is not heard at present.
+    pub(super) fn note_gap(&mut self) {
+        let now = self.now;
+        let unheard = |p: &Peer| now.since(p.heard) >= UNHEARD;
+        if self.peers.values().any(unheard) {
+            self.gap = now;
+        }
+    }
+
+    /// Whether every peer that can't be heard has had the time to notice that, and to stop its
+    /// runs where a claim of this scheduler does not reach; and whether executors had the time
+    /// to connect here.
+    fn peers_settled(&self) -> bool {
+        let (now, lapse) = (self.now, self.setup.lapse);
+        let settled = |p: &Peer| p.link.is_some() || self.silence(p.heard) >= lapse;
+        let heard = |name: &String| self.silence(self.last_heard(name)) >= lapse;
+        now.since(self.setup.started) >= MEETING
+            && self.peers.values().all(settled)
+            && self.doubtful().iter().all(heard)
+    }
+
+    /// Jobs that are being claimed.
+    pub(super) fn claiming(&self) -> Vec<JobNumber> {
+        let claiming = self.jobs.iter();
+        let claiming = claiming.filter(|(_, j)| matches!(j.phase, Phase::Claiming(_)));
+        claiming.map(|(n, _)| *n).collect()
+    }
+
+    /// Asks all executors to end what others have of a job; the job waits for that.
+    ///
+    /// What is placed already runs on: a claim by another scheduler would have ended it.
+    pub(super) fn claim(&mut self, number: JobNumber) {
+        self.counts.claims += 1;
+        let unreached = |e: &ExecutorView| e.link.is_none();
+        if self.must_reach_all() && self.executors.values().any(unreached) {
+            self.count_cause("unclaimable");
+            return self.end_job(number, JobOutcome::Unknown, "unclaimable");
+        }
+        // Nobody else is known to have the job: only a forerunner of this scheduler may have.
+        let young = self.now.since(self.setup.started) < YOUNG
+            && !self.announced.contains_key(&number)
+            && !self.ended.contains_key(&number);
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.phase = Phase::Claiming(Vec::new());
+            job.ran_elsewhere = true;
+            job.claimed_young = young;
+        }
+        let asked: Vec<ExecutorKey> = self.executors.keys().collect();
+        for key in &asked {
+            self.ask_claim(number, *key);
+        }
+        self.log(Kind::JobClaimed, format!("{number} at {}", asked.len()));
+        self.settle_claims();
+    }
+
+    /// Asks an executor to end what others have of a job, and waits for its word.
+    pub(super) fn ask_claim(&mut self, number: JobNumber, key: ExecutorKey) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if let Phase::Claiming(asked) = &mut job.phase
+            && !asked.contains(&key)
+        {
+            asked.push(key);
+        }
+        let orders = &mut self.executors[key].orders;
+        if job.renewed {
+            orders.renewals.push(number.0);
+        } else {
+            orders.claims.push(number.0);
+        }
+    }
+
+    pub(super) fn claim_confirmed(&mut self, number: JobNumber, key: ExecutorKey) {
+        if let Some(job) = self.jobs.get_mut(&number)
+            && let Phase::Claiming(asked) = &mut job.phase
+        {
+            asked.retain(|k| *k != key);
+        }
+        self.settle_claims();
+    }
+
+    /// Begins the jobs that every executor has confirmed, or that can't run where it has not.
+    pub(super) fn settle_claims(&mut self) {
+        let now = self.now;
+        let lapse = self.setup.lapse;
+        if !self.peers_settled() {
+            return;
+        }
+        let all = self.must_reach_all();
+        let awake_since = self.awake_since;
+        // What a forerunner of this scheduler had started is over by now, asked about or not.
+        let grown = now.since(self.setup.started) >= YOUNG;
+        for number in self.claiming() {
+            let executors = &self.executors;
+            let silence = |heard: Mono| now.since(heard.max(awake_since));
+            let may_run = |e: &ExecutorView| all || e.link.is_some() || silence(e.heard) < lapse;
+            let open = |key: &ExecutorKey| executors.get(*key).is_some_and(may_run);
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            let over = grown && job.claimed_young;
+            if let Phase::Claiming(asked) = &job.phase
+                && (over || !asked.iter().any(open))
+            {
+                job.phase = Phase::Active;
+                job.safe_since = now;
+                self.queue_job(number);
+            }
+        }
+    }
+}
