--- /dev/null
+++ b/lib/daemon/tests/runner/main.rs
@@ -0,0 +1,3 @@
+//! The daemons' integration tests.
+
+mod test_log_sink;
--- /dev/null
+++ b/lib/daemon/tests/runner/test_log_sink.rs
@@ -0,0 +1,96 @@
+//! Log lines never hold a process up.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use stackcourse_daemon::dispatch::log_sink::LogSink;
+use stackcourse_lib::event::Event;
+use stackcourse_lib::event::Kind;
+use stackcourse_lib::prelude::Mono;
+
+/// A reader that takes nothing until it is let go.
+#[derive(Clone, Default)]
+struct Stuck {
+    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+}
+
+impl Stuck {
+    fn let_go(&self) {
+        self.state.0.lock().expect("a lock").0 = true;
+        self.state.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        let bytes = self.state.0.lock().expect("a lock").1.clone();
+        String::from_utf8(bytes).expect("text")
+    }
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let state = self.state.0.lock().expect("a lock");
+        let mut state = self.state.1.wait_while(state, |s| !s.0).expect("a lock");
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn lines_with(text: &str, word: &str) -> usize {
+    text.lines().filter(|l| l.contains(word)).count()
+}
+
+#[test]
+fn test_log_sink_drops_and_counts_while_its_reader_stands_still() {
+    let stuck = Stuck::default();
+    let mut sink = LogSink::new("n", stuck.clone());
+    let begun = Instant::now();
+    // A second of many events each, so that the queue, not the budget, is what is full.
+    for second in 0..60u64 {
+        for _ in 0..120 {
+            sink.log(Mono(second * 1_000_000), &Event::new(Kind::JobTaken, "x"));
+        }
+    }
+    assert!(begun.elapsed() < Duration::from_secs(2), "nothing waited");
+    assert!(sink.dropped() > 0);
+    stuck.let_go();
+    std::thread::sleep(Duration::from_millis(400));
+    sink.log(Mono(99_000_000), &Event::new(Kind::JobTaken, "last"));
+    std::thread::sleep(Duration::from_millis(400));
+    assert_eq!(
+        lines_with(&stuck.text(), "\"dropped\""),
+        1,
+        "the count is told"
+    );
+}
+
+#[test]
+fn test_log_sink_leaves_out_what_comes_too_often_and_says_how_much() {
+    let stuck = Stuck::default();
+    stuck.let_go();
+    let mut sink = LogSink::new("n", stuck.clone());
+    for _ in 0..500 {
+        sink.log(Mono(1), &Event::new(Kind::JobTaken, "often"));
+        sink.log(Mono(1), &Event::new(Kind::LeaseOver, "warning"));
+    }
+    sink.log(Mono(1_500_000), &Event::new(Kind::JobTaken, "later"));
+    std::thread::sleep(Duration::from_millis(500));
+    let text = stuck.text();
+    let (often, warnings) = (lines_with(&text, "often"), lines_with(&text, "\"warning\""));
+    assert!(
+        often < warnings,
+        "{often} informational lines, {warnings} warnings"
+    );
+    assert!(
+        text.contains(&format!("\"left_out\":{}", 500 - often)),
+        "{text}"
+    );
+}
