--- a/lib/daemon/tests/runner/test_log_sink.rs
+++ b/lib/daemon/tests/runner/test_log_sink.rs
@@ -13,29 +13,37 @@
 use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::Mono;
 
+#[derive(Default)]
+struct Pipe {
+    /// Whether the reader takes what comes.
+    open: bool,
+    taken: Vec<u8>,
+}
+
 /// A reader that takes nothing until it is let go.
 #[derive(Clone, Default)]
 struct Stuck {
-    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    pipe: Arc<Mutex<Pipe>>,
+    changed: Arc<Condvar>,
 }
 
 impl Stuck {
     fn let_go(&self) {
-        self.state.0.lock().expect("a lock").0 = true;
-        self.state.1.notify_all();
+        self.pipe.lock().expect("a lock").open = true;
+        self.changed.notify_all();
     }
 
     fn text(&self) -> String {
-        let bytes = self.state.0.lock().expect("a lock").1.clone();
+        let bytes = self.pipe.lock().expect("a lock").taken.clone();
         String::from_utf8(bytes).expect("text")
     }
 }
 
 impl Write for Stuck {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let state = self.state.0.lock().expect("a lock");
-        let mut state = self.state.1.wait_while(state, |s| !s.0).expect("a lock");
-        state.1.extend_from_slice(bytes);
+        let pipe = self.pipe.lock().expect("a lock");
+        let waited = self.changed.wait_while(pipe, |p| !p.open);
+        waited.expect("a lock").taken.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
