tests: a job whose task fails often is seen to fail

Cause: the test of that name never reached the second failure, so it could not fail where it should; found on the last read of the change. Change: a second executor takes the second attempt, its failure ends the job, and the task is seen not to go back where it failed. Stricter than before. Product code is unchanged.

--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -92,6 +92,10 @@
     }
 
     fn update(&mut self, update: proto::Update) {
+        self.update_on(EXECUTOR, update);
+    }
+
+    fn update_on(&mut self, link: LinkId, update: proto::Update) {
         self.clock_us += 1;
         let update = proto::Update {
             clock_us: self.clock_us,
@@ -111,7 +115,7 @@
             ..update
         };
         let body = Body::Update(update);
-        self.scheduler.message(self.now, EXECUTOR, body);
+        self.scheduler.message(self.now, link, body);
         self.take();
     }
 
@@ -245,9 +249,26 @@
     bench.submit(1, 7, 1);
     bench.end(task(7, 0), 1, EndKind::Failed);
     assert_eq!(bench.answers(), []);
-    // The only executor is the one where it failed; a second one takes the next try.
-    bench.link(LinkId(9), "e2", true);
-    assert_eq!(bench.starts(), [(7, 0, 1)]);
+    assert_eq!(bench.starts(), [(7, 0, 1)], "not again where it failed");
+    let second = LinkId(9);
+    bench.link(second, "e2", true);
+    bench.update_on(second, proto::Update::default());
+    assert_eq!(bench.starts(), [(7, 0, 1), (7, 0, 2)]);
+    let end = proto::TaskEnd {
+        number: 1,
+        task: Some(task(7, 0).proto(2)),
+        kind: EndKind::Failed.code(),
+        ran_us: 1000,
+        ..proto::TaskEnd::default()
+    };
+    bench.update_on(
+        second,
+        proto::Update {
+            ends: vec![end],
+            ..proto::Update::default()
+        },
+    );
+    assert_eq!(bench.answers(), [(1, JobOutcome::Failed)]);
 }
 
 #[test]
