executor: a claim need not wait for the worker's first heartbeat

An executor reads the worker's lists at the address of its settings before the worker has said anything. The fencing token that it brings keeps late orders of an earlier executor out; what runs is stopped; once nothing is listed claims are confirmed. A reply that comes after the worker has begun a life is not counted. The model of the worker takes calls that name no life, as the users' pages say of it.

Tests. test_executor_confirms_a_claim_before_its_worker_has_said_anything (fails before), test_executor_does_not_take_a_probe_for_a_later_life.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -284,6 +284,10 @@
     fence: u64,
     /// Since when runs may be at the worker that are not known here.
     unclean_since: Mono,
+    /// Whether no run was found at the worker before it first said anything of itself.
+    vacant: bool,
+    /// Whether the hold that is under way was sent before the worker said anything.
+    probing: bool,
     holding: bool,
     /// Counts holds that were sent.
     holds: u64,
@@ -307,6 +311,8 @@
             last_end: 0,
             health: Health::default(),
             unclean_since: setup.started,
+            vacant: false,
+            probing: false,
             holding: false,
             holds: 0,
             hold_at: Mono::default(),
@@ -473,7 +479,7 @@
             return;
         }
         let Some(worker) = &self.worker else {
-            return;
+            return self.probe();
         };
         let deadline_ms = if worker.clean && worker.answers {
             self.deadline(now, self.setup.worker_hold)
@@ -492,6 +498,27 @@
             seen: worker.seen,
             wait,
         };
+        self.send_hold(call);
+    }
+
+    /// Reads the lists of a worker that has not said anything yet, so that claims need not wait for
+    /// its first heartbeat. The fencing token keeps late orders of an earlier executor from
+    /// starting anything after that.
+    fn probe(&mut self) {
+        if self.vacant {
+            return;
+        }
+        self.probing = true;
+        self.send_hold(HoldCall {
+            life: String::new(),
+            deadline_ms: 0,
+            fence: self.fence,
+            seen: 0,
+            wait: Duration::ZERO,
+        });
+    }
+
+    fn send_hold(&mut self, call: HoldCall) {
         self.holding = true;
         self.holds += 1;
         self.actions.push(Action::Hold(call));
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -26,6 +26,10 @@
     pub fn held(&mut self, now: Mono, reply: HoldReply) {
         self.holding = false;
         self.hold_at = now;
+        if std::mem::take(&mut self.probing) {
+            self.probed(now, reply);
+            return self.work(now);
+        }
         match reply {
             HoldReply::Lists {
                 clock_ms,
@@ -40,6 +44,33 @@
         self.work(now);
     }
 
+    /// The reply to a hold that was sent before the worker had said anything of itself.
+    fn probed(&mut self, now: Mono, reply: HoldReply) {
+        if self.worker.is_some() {
+            // It has begun a life meanwhile, which the reply may not be of.
+            return;
+        }
+        self.hold_at = now + ASK_AGAIN;
+        match reply {
+            HoldReply::Lists { running, .. } if running.is_empty() => self.found_vacant(now),
+            HoldReply::Lists { running, .. } => {
+                for row in running {
+                    self.stop_stranger(row.run);
+                }
+            }
+            HoldReply::Fenced => self.raise_fence(),
+            HoldReply::Unreachable if now.since(self.unclean_since) >= GONE_AFTER => {
+                self.found_vacant(now);
+            }
+            HoldReply::Unreachable | HoldReply::WrongLife | HoldReply::NoAnswer => {}
+        }
+    }
+
+    fn found_vacant(&mut self, now: Mono) {
+        self.vacant = true;
+        self.settle_claims(now);
+    }
+
     fn worker_silent(&mut self, now: Mono, reply: &HoldReply) {
         let lapse = self.setup.worker_hold.mul_f64(LAPSE_FACTOR);
         let Some(worker) = &mut self.worker else {
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -504,6 +504,35 @@
     );
 }
 
+#[test]
+fn test_executor_confirms_a_claim_before_its_worker_has_said_anything() {
+    let mut bench = Bench::new();
+    bench.link(ONE, "one");
+    bench.claim(ONE, 1);
+    bench.pass(20);
+    assert!(bench.updates(ONE).iter().all(|u| u.claimed.is_empty()));
+    bench.lists(&[run(1, 0, 1)], Vec::new());
+    assert_eq!(bench.stopped(), [run(1, 0, 1)], "an earlier executor's run");
+    assert!(bench.updates(ONE).iter().all(|u| u.claimed.is_empty()));
+    bench.pass(40);
+    bench.lists(&[], Vec::new());
+    let last = bench.updates(ONE).pop().expect("an update");
+    assert_eq!(last.claimed, [1], "nothing is left, and nothing can start");
+}
+
+#[test]
+fn test_executor_does_not_take_a_probe_for_a_later_life() {
+    let mut bench = Bench::new();
+    bench.link(ONE, "one");
+    bench.claim(ONE, 1);
+    bench.beat("w1", false, 1);
+    bench.lists(&[], Vec::new());
+    assert!(bench.updates(ONE).iter().all(|u| u.claimed.is_empty()));
+    bench.lists(&[], Vec::new());
+    let last = bench.updates(ONE).pop().expect("an update");
+    assert_eq!(last.claimed, [1]);
+}
+
 #[test]
 fn test_executor_does_not_confirm_before_it_knows_its_worker() {
     let mut bench = Bench::new();
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether a call that names a life, or none, is for this one.
+    fn is_meant(&self, life: &str) -> bool {
+        life.is_empty() || life == self.life
+    }
+
     fn extend(&mut self, now: u64, deadline_ms: u64) {
         let until = (deadline_ms * 1000).min(now + MOST_HELD_US);
         self.held_until = self.held_until.max(until);
@@ -128,7 +133,7 @@
 
     /// Carries out a stop.
     pub fn stop(&mut self, now: u64, life: &str, name: RunName, fence: u64) -> OrderReply {
-        if life != self.life {
+        if !self.is_meant(life) {
             return OrderReply::WrongLife;
         }
         if fence < self.fence {
@@ -147,7 +152,7 @@
 
     /// Carries out a hold.
     pub fn hold(&mut self, now: u64, call: &HoldCall) -> HoldReply {
-        if call.life != self.life {
+        if !self.is_meant(&call.life) {
             return HoldReply::WrongLife;
         }
         if call.fence < self.fence {
