executor: a worker that resets its answers is not asked without pause

An executor asked again at once until 200 ms had passed, and each try costs a connection.

A first failure is followed after 10 ms, a silent worker every 40 ms as before, and one silent for so long that nothing of ours runs there every 200 ms.

Test. test_executor_does_not_ask_a_worker_that_resets_without_pause (fails before).

--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -16,8 +16,13 @@
 
 /// Single answers can be lost; a worker that gives none for this long counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(200);
-/// A worker that does not answer is asked again after this long.
+/// A worker that has failed to answer once is asked again after this long: an answer that is reset
+/// comes back at once, and each try costs a connection.
+const ASK_SOON: Duration = Duration::from_millis(10);
+/// A worker that is silent is asked again after this long.
 const ASK_AGAIN: Duration = Duration::from_millis(40);
+/// A worker that is silent and keeps nothing of ours alive is asked again after this long.
+const ASK_SELDOM: Duration = Duration::from_millis(200);
 /// A worker that can't be reached at all for this long is gone.
 const GONE_AFTER: Duration = Duration::from_millis(150);
 
@@ -79,9 +84,12 @@
         let since = *worker.silent_since.get_or_insert(now);
         let long = now.since(since) >= SILENT_AFTER;
         let refused = *reply != HoldReply::NoAnswer;
-        if long || refused {
-            self.hold_at = now + ASK_AGAIN;
-        }
+        let wait = match (long || refused, now.since(since) >= lapse) {
+            (_, true) => ASK_SELDOM,
+            (true, false) => ASK_AGAIN,
+            (false, false) => ASK_SOON,
+        };
+        self.hold_at = now + wait;
         if worker.answers && (long || refused) {
             worker.answers = false;
             let detail = format!("{}: {reply:?}", worker.beat.life);
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -163,6 +163,11 @@
         self.take();
     }
 
+    fn holds(&self) -> usize {
+        let holds = self.actions.iter().filter(|a| matches!(a, Action::Hold(_)));
+        holds.count()
+    }
+
     fn started(&mut self) -> Vec<RunName> {
         let starts = self.actions.iter().filter_map(|a| match a {
             Action::Start(call) => Some(call.run),
@@ -462,6 +467,29 @@
     assert_eq!(bench.started().len(), 1, "now it counts as silent");
 }
 
+#[test]
+fn test_executor_does_not_ask_a_worker_that_resets_without_pause() {
+    let mut bench = Bench::ready();
+    let before = bench.holds();
+    let mut answered = 0;
+    for _ in 0..2000 {
+        if bench.holds() > answered {
+            answered = bench.holds();
+            bench.held(HoldReply::NoAnswer);
+        }
+        bench.pass(1);
+    }
+    let asked = bench.holds() - before;
+    assert!(
+        asked <= 60,
+        "{asked} holds in two seconds, each a connection"
+    );
+    assert!(
+        asked >= 20,
+        "{asked} holds: it would be found late when it is back"
+    );
+}
+
 #[test]
 fn test_executor_confirms_a_claim_when_nothing_is_left() {
     let mut bench = Bench::ready();
