scheduler: one that has just started waits for its peers instead of ending jobs as unclaimable

A job that comes in while the scheduler is young waits for its claim. If the scheduler is grown and still can't reach everybody that it must, the job ends as unknown, as before. The head start of a peer is 60 ms.

Tests. test_scheduler_that_is_young_waits_until_it_has_met_its_peers (fails before), and one that holds the other side.

--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -32,8 +32,9 @@
 
 /// Time passes for the scheduler in steps of this.
 const TICK: Duration = Duration::from_millis(20);
-/// How long the other scheduler has to connect first.
-const YIELD: Duration = Duration::from_millis(300);
+/// How long the other scheduler has to connect first. Two links do no harm, but jobs of a scheduler
+/// that has just started wait until it has met its peers.
+const YIELD: Duration = Duration::from_millis(60);
 
 /// A scheduler, its links and its callers. Cheap to clone.
 #[derive(Clone)]
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -94,6 +94,23 @@
             && self.doubtful().iter().all(heard)
     }
 
+    /// Whether this scheduler may have had jobs in a life before that are still at work, and may
+    /// not have met everybody yet.
+    fn is_young(&self) -> bool {
+        self.now.since(self.setup.started) < YOUNG
+    }
+
+    /// Whether a claim made now reaches every executor that it must reach.
+    fn reaches_enough(&self) -> bool {
+        !self.must_reach_all() || self.executors.values().all(|e| e.link.is_some())
+    }
+
+    /// Ends a job of which it can't be known whether it is at work elsewhere.
+    fn end_unclaimable(&mut self, number: JobNumber) {
+        self.count_cause("unclaimable");
+        self.end_job(number, JobOutcome::Unknown, "unclaimable");
+    }
+
     /// Jobs that are being claimed.
     pub(super) fn claiming(&self) -> Vec<JobNumber> {
         let claiming = self.jobs.iter();
@@ -106,13 +123,11 @@
     /// What is placed already runs on: a claim by another scheduler would have ended it.
     pub(super) fn claim(&mut self, number: JobNumber) {
         self.counts.claims += 1;
-        let unreached = |e: &ExecutorView| e.link.is_none();
-        if self.must_reach_all() && self.executors.values().any(unreached) {
-            self.count_cause("unclaimable");
-            return self.end_job(number, JobOutcome::Unknown, "unclaimable");
+        if !self.is_young() && !self.reaches_enough() {
+            return self.end_unclaimable(number);
         }
         // Nobody else is known to have the job: only a forerunner of this scheduler may have.
-        let young = self.now.since(self.setup.started) < YOUNG
+        let young = self.is_young()
             && !self.announced.contains_key(&number)
             && !self.ended.contains_key(&number);
         if let Some(job) = self.jobs.get_mut(&number) {
@@ -162,10 +177,12 @@
         if !self.peers_settled() {
             return;
         }
+        let grown = !self.is_young();
+        if grown && !self.reaches_enough() {
+            self.end_claimed_young();
+        }
         let all = self.must_reach_all();
         let awake_since = self.awake_since;
-        // What a forerunner of this scheduler had started is over by now, asked about or not.
-        let grown = now.since(self.setup.started) >= YOUNG;
         for number in self.claiming() {
             let executors = &self.executors;
             let silence = |heard: Mono| now.since(heard.max(awake_since));
@@ -174,6 +191,7 @@
             let Some(job) = self.jobs.get_mut(&number) else {
                 continue;
             };
+            // What a forerunner of this scheduler had started is over by then, asked about or not.
             let over = grown && job.claimed_young;
             if let Phase::Claiming(asked) = &job.phase
                 && (over || !asked.iter().any(open))
@@ -184,4 +202,13 @@
             }
         }
     }
+
+    /// Jobs that came in while this scheduler was young, and that it can't claim now either.
+    fn end_claimed_young(&mut self) {
+        for number in self.claiming() {
+            if self.jobs.get(&number).is_some_and(|j| j.claimed_young) {
+                self.end_unclaimable(number);
+            }
+        }
+    }
 }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -23,6 +23,7 @@
 
 const EXECUTOR: LinkId = LinkId(1);
 const PEER: LinkId = LinkId(2);
+const OTHER_EXECUTOR: LinkId = LinkId(3);
 
 struct Bench {
     scheduler: Scheduler,
@@ -148,6 +149,10 @@
     }
 
     fn submit(&mut self, caller: u64, number: u64, tasks: u32) {
+        self.submit_of(caller, number, tasks, 100);
+    }
+
+    fn submit_of(&mut self, caller: u64, number: u64, tasks: u32, estimate_ms: u32) {
         let request = JobRequest {
             number: JobNumber(number),
             queue: "q".to_owned(),
@@ -159,7 +164,7 @@
                     memory_mb: 10,
                     gpu: 0,
                 },
-                estimate_ms: 100,
+                estimate_ms,
                 ..Step::default()
             }],
             patience_ms: 3000,
@@ -390,6 +395,56 @@
     assert_eq!(bench.starts(), []);
 }
 
+/// A scheduler that has just started: one executor hears a peer that is not met yet, another one
+/// has been met and lost again. A job has come in.
+fn young_in_doubt() -> Bench {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+    bench.pass(20);
+    bench.submit_of(1, 7, 1, 900);
+    bench
+}
+
+fn confirm_on(bench: &mut Bench, link: LinkId) {
+    let update = proto::Update {
+        claimed: vec![7],
+        leased: vec!["s1".to_owned(), "s2".to_owned()],
+        ..proto::Update::default()
+    };
+    bench.update_on(link, update);
+}
+
+#[test]
+fn test_scheduler_that_is_young_waits_until_it_has_met_its_peers() {
+    let mut bench = young_in_doubt();
+    assert_eq!(bench.answers(), [], "it is too early to give up");
+    bench.link(PEER, "s2", false);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    confirm_on(&mut bench, EXECUTOR);
+    confirm_on(&mut bench, OTHER_EXECUTOR);
+    for _ in 0..20 {
+        bench.pass(20);
+        bench.peer(proto::PeerUpdate::default());
+        bench.update_on(OTHER_EXECUTOR, proto::Update::default());
+        bench.report(Vec::new());
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_was_young_does_not_start_what_it_can_not_claim() {
+    let mut bench = young_in_doubt();
+    for _ in 0..80 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "the other executor may run it for s2");
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
+
 #[test]
 fn test_scheduler_never_goes_back_to_an_older_catalog() {
     let mut bench = Bench::ready();
