scheduler: one that has just started knows which executors it has not met

Agents stand in the store under a lease, as entries do. An entry reads their names when it starts and every 10 to 20 s. While it is young it begins once all of them are met and have confirmed, or after 1.3 s if the store does not answer or one is missing; one that it can't reach counts wherever a claim must reach all, and is not forgotten while it stands there.

--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -4,7 +4,6 @@
 //! nobody: members are only ever added, and found dead by contact.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,9 +19,9 @@
 
 /// Waits between tries while the store does not answer, shortest and longest.
 const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
-/// The lease of a member, and how often it is renewed.
-const MEMBER_LEASE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(3));
-/// Every so many renewals a member makes sure that its key stands.
+/// The lease of a registered process, and how often it is renewed.
+const REGISTRATION: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(3));
+/// Every so many renewals a process makes sure that its key stands.
 const LOOK_EVERY: u32 = 3;
 
 /// What the follower tells, and where it writes its log lines.
@@ -96,14 +95,13 @@
     }
 }
 
-/// Keeps a key that says where this scheduler is reached, under a lease, until `leaving` is set.
-pub async fn stand_as_member<S: KeyStore>(
+/// Keeps a key with a value under a lease, until `leaving` is set.
+pub async fn keep_registered<S: KeyStore>(
     store: Rc<S>,
     key: String,
-    address: SocketAddr,
+    value: Bytes,
     leaving: Rc<Cell<bool>>,
 ) {
-    let value = Bytes::from(address.to_string());
     let mut lease: Option<Lease> = None;
     let mut rounds = 0u32;
     let mut pause = RETRY.0;
@@ -117,7 +115,7 @@
             Ok(held) => {
                 lease = Some(held);
                 pause = RETRY.0;
-                actix_rt::time::sleep(jitter(MEMBER_LEASE.1)).await;
+                actix_rt::time::sleep(jitter(REGISTRATION.1)).await;
             }
             Err(error) => {
                 if error == StoreError::NoLease {
@@ -133,8 +131,21 @@
     }
 }
 
+/// Reads the names that stand under a prefix, trying until the store answers.
+pub async fn names<S: KeyStore>(store: &S, prefix: &str) -> Vec<String> {
+    let mut pause = RETRY.0;
+    loop {
+        if let Ok((items, _)) = store.list(prefix).await {
+            let name = |item: &Item| item.key.strip_prefix(prefix).map(str::to_owned);
+            return items.iter().filter_map(name).collect();
+        }
+        actix_rt::time::sleep(jitter(pause)).await;
+        pause = (pause * 2).min(RETRY.1);
+    }
+}
+
 async fn enter<S: KeyStore>(store: &S, key: &str, value: &Bytes) -> Result<Lease, StoreError> {
-    let lease = store.grant(MEMBER_LEASE.0).await?;
+    let lease = store.grant(REGISTRATION.0).await?;
     store.put(key, value.clone(), Some(lease)).await?;
     Ok(lease)
 }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -129,6 +129,8 @@
     peers: BTreeMap<String, Peer>,
     /// When some peer was last not heard.
     gap: Mono,
+    /// The executors that there are, by the store, once that is known.
+    roster: Option<BTreeSet<String>>,
     members: BTreeMap<String, String>,
     members_told: Mono,
     /// How long tasks take against their estimates, by queue.
@@ -159,6 +161,7 @@
             executors: SlotMap::with_key(),
             peers: BTreeMap::new(),
             gap: Mono::default(),
+            roster: None,
             members: BTreeMap::new(),
             members_told: Mono::default(),
             learned: HashMap::new(),
@@ -311,6 +314,24 @@
         self.announced.retain(|_, (_, at)| now.since(*at) < MEMORY);
     }
 
+    /// Names the executors that there are. A scheduler that has just started begins to place jobs
+    /// once it has met all of them; while it does not know them it waits for as long as runs can
+    /// last that nobody renews. One that is there but can't be reached from here counts wherever a
+    /// claim must reach all.
+    pub fn set_roster(&mut self, now: Mono, names: Vec<String>) {
+        self.enter(now);
+        self.hear_of_executors(&names);
+        let roster = names.into_iter().collect();
+        if self.roster.as_ref() != Some(&roster) {
+            let unmet = roster.iter().filter(|name| !self.is_met(name)).count();
+            let detail = format!("{} executors, {unmet} of them not met", roster.len());
+            self.log(Kind::RosterKnown, detail);
+        }
+        self.roster = Some(roster);
+        self.settle_claims();
+        self.place();
+    }
+
     /// Names members that were learned elsewhere.
     pub fn add_members(&mut self, now: Mono, members: Vec<proto::Member>) {
         self.enter(now);
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -100,6 +100,13 @@
         self.now.since(self.setup.started) < YOUNG
     }
 
+    /// Whether every executor is linked that there is. One that was lost when this scheduler
+    /// started has left runs at its worker that end by themselves only.
+    fn has_met_roster(&self) -> bool {
+        let roster = self.roster.as_ref();
+        roster.is_some_and(|names| names.iter().all(|name| self.is_met(name)))
+    }
+
     /// Whether a claim made now reaches every executor that it must reach.
     fn reaches_enough(&self) -> bool {
         !self.must_reach_all() || self.executors.values().all(|e| e.link.is_some())
@@ -174,10 +181,10 @@
     pub(super) fn settle_claims(&mut self) {
         let now = self.now;
         let lapse = self.setup.lapse;
-        if !self.peers_settled() {
+        let grown = !self.is_young();
+        if !self.peers_settled() || !(grown || self.has_met_roster()) {
             return;
         }
-        let grown = !self.is_young();
         if grown && !self.reaches_enough() {
             self.end_claimed_young();
         }
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -182,8 +182,14 @@
         linked.map(|e| e.name.clone()).collect()
     }
 
-    /// Notes executors that a peer is linked to, so that it is known if they can't be reached
-    /// from here.
+    /// Whether an executor is linked.
+    pub(super) fn is_met(&self, name: &str) -> bool {
+        let mut executors = self.executors.values();
+        executors.any(|e| e.name == name && e.link.is_some())
+    }
+
+    /// Notes executors that there are, by a peer or the store, so that it is known if they can't
+    /// be reached from here.
     pub(super) fn hear_of_executors(&mut self, names: &[String]) {
         for name in names {
             if self.executors.values().any(|e| e.name == *name) {
@@ -289,12 +295,17 @@
             if silent >= self.setup.lapse {
                 self.lose_tasks(key);
             }
-            if silent >= FORGOTTEN {
+            if silent >= FORGOTTEN && !self.is_in_roster(key) {
                 self.executors.remove(key);
             }
         }
     }
 
+    fn is_in_roster(&self, key: ExecutorKey) -> bool {
+        let name = &self.executors[key].name;
+        self.roster.as_ref().is_some_and(|r| r.contains(name))
+    }
+
     /// Nothing that was placed there runs any more.
     fn lose_tasks(&mut self, key: ExecutorKey) {
         let placed = self.executors[key].placed.iter();
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -62,6 +62,7 @@
     Rebalance = 214, Info, "shards move to another entry";
     AgentEnrolled = 220, Info, "agents were enrolled in the roster";
     AgentGone = 221, Warn, "agents were struck from the roster";
+    RosterKnown = 222, Info, "the names of the executors were read from the store";
     SwapLost = 230, Warn, "the answer to a write was lost; the record is read back";
     StoreAway = 231, Warn, "the store does not answer";
     StoreBack = 232, Info, "the store answers again";
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -421,6 +421,8 @@
 fn test_scheduler_that_is_young_waits_until_it_has_met_its_peers() {
     let mut bench = young_in_doubt();
     assert_eq!(bench.answers(), [], "it is too early to give up");
+    let roster = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
     bench.link(PEER, "s2", false);
     bench.link(OTHER_EXECUTOR, "e2", true);
     confirm_on(&mut bench, EXECUTOR);
@@ -445,6 +447,57 @@
     assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
 }
 
+/// A scheduler without peers that has just started, with a job that the one executor it has met
+/// has confirmed.
+fn young_with_roster(names: &[&str]) -> Bench {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    let names = names.iter().map(|n| (*n).to_owned()).collect();
+    bench.scheduler.set_roster(bench.now, names);
+    bench.submit_of(1, 7, 1, 2000);
+    for _ in 0..25 {
+        bench.update(proto::Update {
+            claimed: vec![7],
+            ..proto::Update::default()
+        });
+        bench.pass(20);
+    }
+    bench
+}
+
+#[test]
+fn test_scheduler_that_is_young_starts_once_it_has_met_all_executors() {
+    let bench = young_with_roster(&["e1"]);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_is_young_waits_for_an_executor_it_has_not_met() {
+    let mut bench = young_with_roster(&["e1", "e2"]);
+    assert_eq!(bench.starts(), [], "what e2 had started may still run");
+    for _ in 0..45 {
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)], "by now it has ended by itself");
+}
+
+#[test]
+fn test_scheduler_does_not_claim_past_an_executor_it_never_met() {
+    let mut bench = Bench::ready();
+    let roster = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
+    bench.link(PEER, "s2", false);
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..2000 {
+        bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+        bench.pass(20);
+    }
+    bench.submit(1, 7, 1);
+    assert_eq!(bench.starts(), []);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
+
 #[test]
 fn test_scheduler_never_goes_back_to_an_older_catalog() {
     let mut bench = Bench::ready();
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -8,6 +8,7 @@
 use clap::Command;
 use clap::value_parser;
 use stackcourse_testutils::dispatch::run;
+use stackcourse_testutils::dispatch::run::RunPlan;
 
 fn main() -> ExitCode {
     let matches = Command::new("dispatch-run")
@@ -19,6 +20,12 @@
             "40",
             "Virtual seconds with faults in each run",
         ))
+        .arg(
+            Arg::new("losses")
+                .long("losses")
+                .action(ArgAction::SetTrue)
+                .help("Also kill all schedulers, all executors or everybody at once"),
+        )
         .arg(
             Arg::new("trace")
                 .long("trace")
@@ -29,15 +36,17 @@
     let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
     let span = Duration::from_secs(value("span"));
     let trace = matches.get_flag("trace");
+    let losses = matches.get_flag("losses");
     let mut broken = 0;
     let mut steps = 0;
     let mut starts = 0;
     for seed in value("from")..value("from") + value("seeds") {
-        let report = if trace {
-            run::run_traced(seed, span)
-        } else {
-            run::run(seed, span)
-        };
+        let report = run::run_plan(RunPlan {
+            seed,
+            span,
+            losses,
+            trace,
+        });
         steps += report.steps;
         starts += report.starts;
         if report.violation.is_some() || report.recovered < run::RECOVERED {
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -29,22 +29,39 @@
 const EXECUTORS: usize = 5;
 /// The share of jobs that must be complete once all faults have ended, in percent.
 pub const RECOVERED: u64 = 80;
+/// How likely a loss of many is at each step.
+const LOSSES: f64 = 0.004;
 /// Jobs handed in while it is calm again.
 const CALM_JOBS: u64 = 60;
 
-/// Runs a seed for a span of virtual time with faults, then for some time without.
-pub fn run(seed: u64, span: Duration) -> RunReport {
-    run_world(World::new(seed, SCHEDULERS, EXECUTORS), span)
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunPlan {
+    /// The seed.
+    pub seed: u64,
+    /// For how long faults come, in virtual time.
+    pub span: Duration,
+    /// Whether all schedulers, all executors or everybody may be killed at once, too.
+    pub losses: bool,
+    /// Whether to print what happens.
+    pub trace: bool,
 }
 
-/// Runs a seed and prints what happens.
-pub fn run_traced(seed: u64, span: Duration) -> RunReport {
-    let mut world = World::new(seed, SCHEDULERS, EXECUTORS);
-    world.trace = true;
-    run_world(world, span)
+/// Runs a seed for a span of virtual time with faults, then for some time without.
+pub fn run(seed: u64, span: Duration) -> RunReport {
+    run_plan(RunPlan {
+        seed,
+        span,
+        losses: false,
+        trace: false,
+    })
 }
 
-fn run_world(mut world: World, span: Duration) -> RunReport {
+/// Runs a plan.
+pub fn run_plan(plan: RunPlan) -> RunReport {
+    let mut world = World::new(plan.seed, SCHEDULERS, EXECUTORS);
+    world.trace = plan.trace;
+    let span = plan.span;
     world.run(Duration::from_millis(3500));
     let faults = world.rng.random_range(0.0..0.12);
     let end = world.now + span.as_micros() as u64;
@@ -55,6 +72,9 @@
         if world.rng.random_bool(faults) {
             fault(&mut world);
         }
+        if plan.losses && world.rng.random_bool(LOSSES) {
+            lose_many(&mut world);
+        }
     }
     calm(&mut world);
     let before = world.witness.completed;
@@ -129,6 +149,25 @@
     }
 }
 
+/// Kills all schedulers, all executors, or everybody. Each comes back by itself.
+fn lose_many(world: &mut World) {
+    let (schedulers, executors) = world.size();
+    let which = world.rng.random_range(0..3);
+    let silent = world.rng.random_bool(0.5);
+    let nodes = (0..schedulers).map(Node::Scheduler);
+    let nodes = nodes.chain((0..executors).map(Node::Executor));
+    for node in nodes {
+        let spared = match node {
+            Node::Scheduler(_) => which == 1,
+            Node::Executor(_) => which == 0,
+        };
+        if !spared && world.is_node_up(node) {
+            let away = world.rng.random_range(100_000..1_600_000);
+            world.kill(node, silent, away);
+        }
+    }
+}
+
 /// Ends all faults and lets what is left of them pass.
 fn calm(world: &mut World) {
     world.heal();
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -44,6 +44,8 @@
 const ORDER_US: u64 = 40_000;
 /// The answer to a hold is waited for this much longer than the hold may wait, in microseconds.
 const HOLD_EXTRA_US: u64 = 20_000;
+/// The store tells a scheduler after this long which executors there are, in microseconds.
+const ROSTER_US: u64 = 30_000;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
@@ -65,6 +67,11 @@
     Held(usize, u64, HoldReply),
     Again(JobNumber),
     Return(Node),
+    Roster(usize, u64),
+}
+
+fn executor_name(number: usize) -> String {
+    format!("executor-{number}")
 }
 
 struct SchedulerNode {
@@ -180,7 +187,7 @@
         let skew = self.rng.random_range(0..1_000_000_000);
         let setup = ExecutorSetup {
             started: Mono(self.now + skew),
-            name: format!("executor-{number}"),
+            name: executor_name(number),
             zone: "z".to_owned(),
             incarnation: life,
             fence: life * 1000,
@@ -224,6 +231,9 @@
     fn begin(&mut self, node: Node) {
         let life = self.life(node);
         self.at(100, Due::Tick(node, life));
+        if let Node::Scheduler(number) = node {
+            self.at(ROSTER_US, Due::Roster(number, life));
+        }
         for number in 0..self.schedulers.len() {
             let to = Node::Scheduler(number);
             if to != node {
@@ -233,6 +243,14 @@
         }
     }
 
+    /// A scheduler that has started has read from the store which executors there are.
+    fn tell_roster(&mut self, n: usize, life: u64) {
+        if self.life(Node::Scheduler(n)) == life {
+            let names = (0..self.executors.len()).map(executor_name).collect();
+            self.with_scheduler(n, |s, now| s.set_roster(now, names));
+        }
+    }
+
     fn at(&mut self, wait: u64, due: Due) {
         self.sequence += 1;
         self.due.insert((self.now + wait, self.sequence), due);
@@ -341,6 +359,7 @@
             Due::Held(n, life, reply) => self.with_executor(n, life, |e, now| e.held(now, reply)),
             Due::Again(number) => self.hand_in_again(number),
             Due::Return(node) => self.come_back(node),
+            Due::Roster(n, life) => self.tell_roster(n, life),
         }
     }
 
