scheduler: a claim that was only waited out says nothing of peers

When it woke, the job counted as claimed because the scheduler was grown by then, and as safe from that moment on, while a peer had taken it meanwhile.

Such a job is placed, but counts as safe only since it arrived; and a pause counts as a time in which peers were not heard. So it is claimed anew if it was here for long enough to come again elsewhere.

Test. test_scheduler_that_is_young_claims_anew_after_a_pause (fails before).

--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -193,6 +193,7 @@
     /// be taken for a sign of life.
     fn drop_links(&mut self) {
         self.log(Kind::Paused, self.setup.name.clone());
+        self.gap = self.now;
         for executor in self.executors.values_mut() {
             executor.report.ready = false;
             self.actions.extend(executor.link.take().map(Action::Close));
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -198,13 +198,18 @@
             let Some(job) = self.jobs.get_mut(&number) else {
                 continue;
             };
+            let Phase::Claiming(asked) = &job.phase else {
+                continue;
+            };
+            let confirmed = !asked.iter().any(open);
             // What a forerunner of this scheduler had started is over by then, asked about or not.
+            // That says nothing of peers who may have taken the job meanwhile.
             let over = grown && job.claimed_young;
-            if let Phase::Claiming(asked) = &job.phase
-                && (over || !asked.iter().any(open))
-            {
-                job.phase = Phase::Active;
+            if confirmed {
                 job.safe_since = now;
+            }
+            if confirmed || over {
+                job.phase = Phase::Active;
                 self.queue_job(number);
             }
         }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -498,6 +498,31 @@
     assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
 }
 
+#[test]
+fn test_scheduler_that_is_young_claims_anew_after_a_pause() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(PEER, "s2", false);
+    bench.submit_of(1, 7, 1, 2000);
+    bench.pass(2400);
+    bench.link(PEER, "s2", false);
+    bench.link(EXECUTOR, "e1", true);
+    bench.actions.clear();
+    for _ in 0..5 {
+        bench.peer(proto::PeerUpdate::default());
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "the peer may have it by now");
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    bench.pass(20);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
 #[test]
 fn test_scheduler_never_goes_back_to_an_older_catalog() {
     let mut bench = Bench::ready();
