scheduler: one that comes back from a long pause is as careful as one that has just started

A claim is waited out only where no peer can be at work unheard. After a pause in which the others have given it up, a scheduler is young again: it claims what comes, and begins when it has met the executors and peers.

Tests. test_scheduler_that_was_young_waits_for_all_while_a_peer_may_be_at_work and test_scheduler_that_was_paused_doubts_new_jobs (both fail before).

--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -144,12 +144,16 @@
     now: Mono,
     /// Since when this process has run without a pause.
     awake_since: Mono,
+    /// Since when this process has taken part without a pause in which the others have given it
+    /// up. Until it has met them again it does not know which jobs they have.
+    present_since: Mono,
 }
 
 impl Scheduler {
     /// A scheduler without catalog, executors and peers.
     pub fn new(setup: SchedulerSetup) -> Scheduler {
         let rng = SmallRng::seed_from_u64(setup.seed);
+        let present_since = setup.started;
         Scheduler {
             setup,
             catalog: None,
@@ -172,6 +176,7 @@
             actions: Vec::new(),
             now: Mono::default(),
             awake_since: Mono::default(),
+            present_since,
         }
     }
 
@@ -194,6 +199,7 @@
     fn drop_links(&mut self) {
         self.log(Kind::Paused, self.setup.name.clone());
         self.gap = self.now;
+        self.present_since = self.now;
         for executor in self.executors.values_mut() {
             executor.report.ready = false;
             self.actions.extend(executor.link.take().map(Action::Close));
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -11,13 +11,13 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// Within this time after its start a scheduler has met the executors that can be met.
+/// Within this time after its start or a long pause a scheduler has met the executors that can be met.
 const MEETING: Duration = Duration::from_millis(400);
 /// A peer that has not been heard for so long may have jobs that were not announced here.
 const UNHEARD: Duration = Duration::from_millis(600);
 /// A job may be handed in again elsewhere after so long at the earliest.
 const AGAIN_AFTER: Duration = Duration::from_millis(1200);
-/// A scheduler that has started within this time may have had jobs in its life before.
+/// A scheduler that has started or come back within this time may have had jobs in its life before.
 const YOUNG: Duration = Duration::from_millis(1300);
 
 impl Scheduler {
@@ -43,7 +43,7 @@
     /// heard for so long that a job of its may come again here without having been announced.
     pub(super) fn in_doubt(&self) -> bool {
         let now = self.now;
-        if now.since(self.setup.started) < YOUNG {
+        if self.is_young() {
             return true;
         }
         let unheard = |name: &String| now.since(self.last_heard(name)) >= UNHEARD;
@@ -89,15 +89,15 @@
         let (now, lapse) = (self.now, self.setup.lapse);
         let settled = |p: &Peer| p.link.is_some() || self.silence(p.heard) >= lapse;
         let heard = |name: &String| self.silence(self.last_heard(name)) >= lapse;
-        now.since(self.setup.started) >= MEETING
+        now.since(self.present_since) >= MEETING
             && self.peers.values().all(settled)
             && self.doubtful().iter().all(heard)
     }
 
-    /// Whether this scheduler may have had jobs in a life before that are still at work, and may
-    /// not have met everybody yet.
+    /// Whether this scheduler has only just started, or come back from a long pause: jobs of a life
+    /// before may still be at work, and it may not have met everybody yet.
     fn is_young(&self) -> bool {
-        self.now.since(self.setup.started) < YOUNG
+        self.now.since(self.present_since) < YOUNG
     }
 
     /// Whether every executor is linked that there is. One that was lost when this scheduler
@@ -203,8 +203,9 @@
             };
             let confirmed = !asked.iter().any(open);
             // What a forerunner of this scheduler had started is over by then, asked about or not.
-            // That says nothing of peers who may have taken the job meanwhile.
-            let over = grown && job.claimed_young;
+            // That says nothing of peers who may have taken the job meanwhile, or who may be at
+            // work unheard.
+            let over = grown && job.claimed_young && !all;
             if confirmed {
                 job.safe_since = now;
             }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -498,16 +498,49 @@
     assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
 }
 
+#[test]
+fn test_scheduler_that_was_young_waits_for_all_while_a_peer_may_be_at_work() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.submit_of(1, 7, 1, 2000);
+    for _ in 0..75 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.update_on(OTHER_EXECUTOR, proto::Update::default());
+        bench.pass(20);
+    }
+    assert_eq!(
+        bench.starts(),
+        [],
+        "e2 has not confirmed, and s2 is unheard"
+    );
+    confirm_on(&mut bench, OTHER_EXECUTOR);
+    bench.pass(20);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_was_paused_doubts_new_jobs() {
+    let mut bench = Bench::ready();
+    bench.pass(2400);
+    bench.submit(1, 7, 1);
+    bench.link(EXECUTOR, "e1", true);
+    bench.report(Vec::new());
+    bench.pass(20);
+    assert_eq!(bench.starts(), [], "a peer may have it since the pause");
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+}
+
 #[test]
 fn test_scheduler_that_is_young_claims_anew_after_a_pause() {
     let mut bench = Bench::new();
     bench.link(EXECUTOR, "e1", true);
     bench.link(PEER, "s2", false);
     bench.submit_of(1, 7, 1, 2000);
+    bench.actions.clear();
     bench.pass(2400);
     bench.link(PEER, "s2", false);
     bench.link(EXECUTOR, "e1", true);
-    bench.actions.clear();
     for _ in 0..5 {
         bench.peer(proto::PeerUpdate::default());
         bench.report(Vec::new());
@@ -519,7 +552,11 @@
         claimed: vec![7],
         ..proto::Update::default()
     });
-    bench.pass(20);
+    for _ in 0..65 {
+        bench.peer(proto::PeerUpdate::default());
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
     assert_eq!(bench.starts(), [(7, 0, 1)]);
 }
 
