--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -536,6 +536,8 @@
     let mut bench = Bench::new();
     bench.link(EXECUTOR, "e1", true);
     bench.link(PEER, "s2", false);
+    let roster = vec!["e1".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
     bench.submit_of(1, 7, 1, 2000);
     bench.actions.clear();
     bench.pass(2400);
@@ -552,7 +554,7 @@
         claimed: vec![7],
         ..proto::Update::default()
     });
-    for _ in 0..65 {
+    for _ in 0..20 {
         bench.peer(proto::PeerUpdate::default());
         bench.report(Vec::new());
         bench.pass(20);
