--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -4,11 +4,13 @@
 //! nobody: members are only ever added, and found dead by contact.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use stackcourse_lib::event::Kind;
+use tokio_util::sync::CancellationToken;
 
 use crate::dispatch::links::jitter;
 use crate::dispatch::store::Change;
@@ -95,36 +97,39 @@
     }
 }
 
-/// Keeps a key with a value under a lease, until `leaving` is set.
+/// Keeps a key with a value under a lease until `leaving` is cancelled, and takes it away then.
 pub async fn keep_registered<S: KeyStore>(
     store: Rc<S>,
     key: String,
     value: Bytes,
-    leaving: Rc<Cell<bool>>,
+    leaving: CancellationToken,
 ) {
     let mut lease: Option<Lease> = None;
     let mut rounds = 0u32;
     let mut pause = RETRY.0;
-    while !leaving.get() {
+    while !leaving.is_cancelled() {
         let kept = match lease {
             Some(held) => keep(&*store, held, &key, &value, rounds).await,
             None => enter(&*store, &key, &value).await,
         };
         rounds = rounds.wrapping_add(1);
-        match kept {
+        let wait = match kept {
             Ok(held) => {
                 lease = Some(held);
                 pause = RETRY.0;
-                actix_rt::time::sleep(jitter(REGISTRATION.1)).await;
+                REGISTRATION.1
             }
             Err(error) => {
                 if error == StoreError::NoLease {
                     lease = None;
                 }
-                actix_rt::time::sleep(jitter(pause)).await;
+                let wait = pause;
                 pause = (pause * 2).min(RETRY.1);
+                wait
             }
-        }
+        };
+        let wait = actix_rt::time::sleep(jitter(wait));
+        let _ = futures::future::select(pin!(wait), pin!(leaving.cancelled())).await;
     }
     if let Some(held) = lease {
         let _ = store.end(held).await;
