executor: a worker that was slow is soon seen to be well again

Workers that had been slow during the faults got tasks on trial only, one each 500 ms, and each good end moved the mean pace by 15 %: eight trials from seven times the estimate to the bound.

An end that is more than twice as fast as the mean moves it by 45 %.

--- a/lib/src/dispatch/executor/health.rs
+++ b/lib/src/dispatch/executor/health.rs
@@ -10,6 +10,9 @@
 
 /// The weight of the newest reading in the mean pace.
 const PACE_WEIGHT: f64 = 0.15;
+/// The same where the newest reading is less than half of the mean: a worker that was slow has few
+/// tasks to show that it is well again.
+const RECOVERY_WEIGHT: f64 = 0.45;
 /// So many failures of different jobs in a row make a worker suspect.
 const FAILURES: u32 = 3;
 /// Waits between tasks on trial at a suspect worker, shortest and longest. They double with each
@@ -91,7 +94,13 @@
         if self.pace == 0.0 {
             self.pace = ratio;
         } else {
-            self.pace += PACE_WEIGHT * (ratio - self.pace);
+            let recovers = ratio < self.pace / 2.0;
+            let weight = if recovers {
+                RECOVERY_WEIGHT
+            } else {
+                PACE_WEIGHT
+            };
+            self.pace += weight * (ratio - self.pace);
         }
     }
 
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -705,3 +705,23 @@
     }
     assert_eq!(bench.ends(ONE), [(1, EndKind::Lost)]);
 }
+
+#[test]
+fn test_executor_sees_soon_that_a_slow_worker_is_well_again() {
+    let mut bench = Bench::ready();
+    let times = [600, 600, 100, 100, 100, 100];
+    for (job, ms) in times.into_iter().enumerate() {
+        let name = run(job as u64 + 1, 0, 1);
+        bench.start(ONE, name.task.job.0, &[0]);
+        for _ in 0..ms / 50 {
+            bench.pass(50);
+            bench.orders(ONE, proto::Orders::default());
+            bench.lists(&[name], Vec::new());
+        }
+        let end = finished(job as u64 + 1, name, WorkerEnd::Done);
+        bench.lists(&[], vec![end]);
+    }
+    let last = bench.updates(ONE).pop().expect("an update");
+    let pace = last.worker.expect("it reports").pace_percent;
+    assert!(pace < 190, "{pace} % of the estimate");
+}
