scheduler: a young scheduler that has met all executors begins after 100 ms

That bound was to let executors connect; since the roster is known that is waited for by name.

Slow links (all 67 within 200 ms), claims that are not confirmed.

Change. 100 ms, for what executors tell of other schedulers to arrive.

--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -11,8 +11,9 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// Within this time after its start or a long pause a scheduler has met the executors that can be met.
-const MEETING: Duration = Duration::from_millis(400);
+/// A scheduler places nothing that it has to claim before this time after its start or a long pause:
+/// what the executors tell of other schedulers has to arrive first.
+const MEETING: Duration = Duration::from_millis(100);
 /// A peer that has not been heard for so long may have jobs that were not announced here.
 const UNHEARD: Duration = Duration::from_millis(600);
 /// A job may be handed in again elsewhere after so long at the earliest.
