--- /dev/null
+++ b/lib/src/dispatch/executor/calls.rs
@@ -0,0 +1,164 @@
+//! What passes between an executor and its worker, in terms that know nothing of how it travels.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::dispatch::model::Demand;
+use crate::dispatch::model::TaskName;
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerBeat {
+    /// The id of its present life.
+    pub life: String,
+    /// The service it works for.
+    pub service: String,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// What it has.
+    pub capacity: Demand,
+    /// Its kind, its rack.
+    pub labels: Vec<String>,
+    /// Rises with each beat, so that a late one is known.
+    pub sequence: u64,
+}
+
+impl WorkerBeat {
+    /// Whether both say the same of what the worker is and has.
+    pub(super) fn is_like(&self, other: &WorkerBeat) -> bool {
+        self.service == other.service
+            && self.capacity == other.capacity
+            && self.labels == other.labels
+    }
+}
+
+/// One run of a task at the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunName {
+    /// The task.
+    pub task: TaskName,
+    /// The run, from 1.
+    pub run: u32,
+}
+
+/// A start to be sent to the worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartCall {
+    /// The life of the worker it is meant for.
+    pub life: String,
+    /// The run.
+    pub run: RunName,
+    /// What to run.
+    pub spec: Rc<str>,
+    /// The time on the worker's clock after which it must not begin, in milliseconds; 0 if the
+    /// clock is not known.
+    pub deadline_ms: u64,
+    /// The fencing token.
+    pub fence: u64,
+    /// Where an earlier run left off.
+    pub checkpoint: String,
+}
+
+/// A request to keep the runs alive and to list them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldCall {
+    /// The life of the worker it is meant for; empty if not known.
+    pub life: String,
+    /// Runs are kept alive until this time on the worker's clock, in milliseconds; 0 to list only.
+    pub deadline_ms: u64,
+    /// The fencing token.
+    pub fence: u64,
+    /// Ends up to this number have been taken note of.
+    pub seen: u64,
+    /// How long the worker may wait for an end before it answers.
+    pub wait: Duration,
+}
+
+/// Why a worker refused a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    /// Its fencing token is too low.
+    Fence,
+    /// Its run number is not above one that ended or was stopped.
+    Old,
+    /// Its deadline has passed.
+    Late,
+    /// It does not fit.
+    Room,
+    /// The worker can't run it at all.
+    Invalid,
+    /// The worker is unwell and did nothing.
+    Unwell,
+}
+
+/// The answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It was done; the worker's clock, in milliseconds.
+    Done(u64),
+    /// It was refused and will never be done.
+    Refused(StartRefusal),
+    /// Another life of the worker answered.
+    WrongLife,
+    /// There was no answer: it may have been done, or may be done later.
+    NoAnswer,
+    /// There is no worker to take it.
+    Unreachable,
+}
+
+/// A run that the worker lists as running.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningRow {
+    /// The run.
+    pub run: RunName,
+    /// How far it is.
+    pub percent: u32,
+}
+
+/// An end that the worker lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FinishedRow {
+    /// Its number, rising within a life.
+    pub number: u64,
+    /// The run.
+    pub run: RunName,
+    /// How it ended.
+    pub end: WorkerEnd,
+    /// Its checkpoint, if it left one.
+    pub checkpoint: String,
+}
+
+/// How a run ended, as the worker says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerEnd {
+    /// Whole.
+    Done,
+    /// By a fault of its own or the worker's.
+    Failed,
+    /// By a stop.
+    Stopped,
+    /// Because its lease ran out, or otherwise not by itself.
+    Lapsed,
+}
+
+/// The answer to a hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldReply {
+    /// The worker's lists.
+    Lists {
+        /// Its clock, in milliseconds.
+        clock_ms: u64,
+        /// What runs.
+        running: Vec<RunningRow>,
+        /// What ended and was not yet taken note of.
+        finished: Vec<FinishedRow>,
+    },
+    /// The fencing token is too low.
+    Fenced,
+    /// Another life of the worker answered.
+    WrongLife,
+    /// There was no answer.
+    NoAnswer,
+    /// There is no worker.
+    Unreachable,
+}
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -1,5 +1,8 @@
 //! A world of schedulers, executors and workers on a virtual clock.
 
+mod at_workers;
+mod links;
+
 use std::collections::BTreeMap;
 
 use rand::Rng;
@@ -14,9 +17,6 @@
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
-use stackcourse_lib::dispatch::executor::WorkerBeat;
-use stackcourse_lib::dispatch::executor::WorkerEnd;
-use stackcourse_lib::dispatch::model::Demand;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::scheduler;
@@ -30,7 +30,6 @@
 
 use crate::dispatch::callers::AGAIN_US;
 use crate::dispatch::callers::Callers;
-use crate::dispatch::callers::SERVICE;
 use crate::dispatch::network::Network;
 use crate::dispatch::network::Node;
 use crate::dispatch::witness::Witness;
@@ -177,11 +176,6 @@
         self.lives
     }
 
-    fn new_worker(&mut self) -> WorkerModel {
-        let life = self.new_life();
-        WorkerModel::new(format!("w{life}"), CAPACITY)
-    }
-
     fn new_executor(&mut self, number: usize) -> ExecutorNode {
         let life = self.new_life();
         let skew = self.rng.random_range(0..1_000_000_000);
@@ -296,33 +290,6 @@
         self.now = self.now.max(end);
     }
 
-    /// Ends runs at workers that are over by then.
-    fn advance_workers(&mut self, at: u64) {
-        for number in 0..self.workers.len() {
-            if !self.workers[number].up {
-                continue;
-            }
-            for (run, end) in self.workers[number].advance(at) {
-                let line = format!("worker: end {run:?} {end:?}");
-                self.print(Node::Executor(number), &line);
-                self.note_end(run, end);
-            }
-        }
-    }
-
-    fn note_end(&mut self, run: RunName, end: WorkerEnd) {
-        let Some(job) = self.witness.jobs.get_mut(&run.task.job) else {
-            return;
-        };
-        match end {
-            WorkerEnd::Done => {
-                job.done.insert(run.task.index);
-            }
-            WorkerEnd::Failed => *job.failed.entry(run.task.index).or_default() += 1,
-            WorkerEnd::Stopped | WorkerEnd::Lapsed => {}
-        }
-    }
-
     fn step(&mut self, due: Due) {
         let node = match &due {
             Due::Tick(node, _) | Due::Deliver(_, node, _) | Due::Closed(_, node) => Some(*node),
@@ -436,15 +403,6 @@
         }
     }
 
-    /// How long an order takes to the worker, and whether it counts as carried out late.
-    fn order_delay(&mut self) -> (u64, bool) {
-        if self.rng.random_bool(self.late) {
-            (self.rng.random_range(2_000_000..12_000_000), true)
-        } else {
-            (self.rng.random_range(100..800), false)
-        }
-    }
-
     /// Prints a line if the world is traced.
     pub fn print(&self, node: Node, text: &str) {
         if self.trace {
@@ -452,207 +410,6 @@
         }
     }
 
-    fn start(&mut self, n: usize, life: u64, call: &StartCall, late: bool) {
-        let task = call.run.task;
-        let Some(job) = self.callers.jobs.get(&task.job) else {
-            return self.witness.break_promise(format!("{task}: nobody's job"));
-        };
-        let (work_us, poison) = (job.work_of(task.index), job.poison);
-        let cpu = self.witness.jobs[&task.job].cpu;
-        let reply = if self.workers[n].up {
-            let now = self.now;
-            let (reply, begun) = self.workers[n].start(now, call, work_us, poison);
-            self.print(
-                Node::Executor(n),
-                &format!("worker: start {:?} {reply:?}", call.run),
-            );
-            if begun {
-                self.note_start(n, call.run, cpu);
-            }
-            reply
-        } else {
-            OrderReply::Unreachable
-        };
-        if late {
-            // Whoever ordered it was told long ago that there is no answer.
-            return;
-        }
-        let (wait, reply) = self.reply_delay(reply);
-        self.at(wait, Due::Started(n, life, call.run, reply));
-    }
-
-    fn note_start(&mut self, n: usize, run: RunName, _cpu: u32) {
-        let others = (0..self.workers.len()).filter(|m| *m != n);
-        let runs_at =
-            |m: usize| self.workers[m].up && self.workers[m].running.contains_key(&run.task);
-        let elsewhere = others.into_iter().any(runs_at);
-        let jobs = &self.witness.jobs;
-        let cpu_of =
-            |t: &stackcourse_lib::dispatch::model::TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
-        let taken = self.workers[n].running.keys().map(cpu_of).sum();
-        let capacity = self.workers[n].capacity;
-        self.witness.started(run.task, elsewhere, taken, capacity);
-    }
-
-    fn stop(&mut self, n: usize, life: u64, worker: &str, run: RunName, fence: u64, late: bool) {
-        let now = self.now;
-        let reply = if self.workers[n].up {
-            self.workers[n].stop(now, worker, run, fence)
-        } else {
-            OrderReply::Unreachable
-        };
-        if late {
-            return;
-        }
-        let (wait, reply) = self.reply_delay(reply);
-        self.at(wait, Due::Stopped(n, life, run, reply));
-    }
-
-    /// How long a reply takes, and the reply as it arrives.
-    fn reply_delay(&mut self, reply: OrderReply) -> (u64, OrderReply) {
-        if self.rng.random_bool(self.lost) {
-            (ORDER_US, OrderReply::NoAnswer)
-        } else {
-            (self.rng.random_range(100..800), reply)
-        }
-    }
-
-    fn hold(&mut self, n: usize, life: u64, call: HoldCall, until: u64) {
-        if !self.workers[n].up {
-            return self.at(1000, Due::Held(n, life, HoldReply::Unreachable));
-        }
-        let now = self.now;
-        let first = self.workers[n].hold(now, &call);
-        let lists = matches!(first, HoldReply::Lists { .. });
-        if lists && now < until && !self.workers[n].has_news(call.seen) {
-            return self.at(POLL_US, Due::Hold(n, life, call, until));
-        }
-        let lost = self.rng.random_bool(self.lost);
-        let (wait, reply) = if lost {
-            (HOLD_EXTRA_US, HoldReply::NoAnswer)
-        } else {
-            (self.rng.random_range(100..800), first)
-        };
-        self.at(wait, Due::Held(n, life, reply));
-    }
-
-    fn beat(&mut self, number: usize) {
-        self.at(BEAT_US, Due::Beat(number));
-        let worker = &self.workers[number];
-        let node = &self.executors[number];
-        if !worker.up || !node.up || node.frozen_until > self.now {
-            return;
-        }
-        let beat = WorkerBeat {
-            life: worker.life.clone(),
-            service: SERVICE.to_owned(),
-            draining: worker.draining,
-            capacity: Demand {
-                cpu_milli: worker.capacity,
-                memory_mb: 65_536,
-                gpu: 0,
-            },
-            labels: Vec::new(),
-            sequence: self.now,
-        };
-        let life = node.life;
-        self.with_executor(number, life, |e, now| e.beat(now, beat));
-    }
-
-    fn send(&mut self, from: Node, link: LinkId, body: Body) {
-        let Some(wire) = self.network.wires.get_mut(&link) else {
-            return;
-        };
-        let (to, way) = wire.other(from);
-        if wire.closed != [false; 2] {
-            return;
-        }
-        if self.network.cuts.contains(&(from, to)) || !wire.held[way].is_empty() {
-            wire.held[way].push(body);
-            return;
-        }
-        let arrives = (self.now + self.rng.random_range(300..1500)).max(wire.last[way] + 1);
-        wire.last[way] = arrives;
-        let wait = arrives - self.now;
-        self.at(wait, Due::Deliver(link, to, body));
-    }
-
-    fn deliver(&mut self, link: LinkId, node: Node, body: Body) {
-        let open = |w: &crate::dispatch::network::Wire| !w.closed[w.end(node)];
-        if !self.network.wires.get(&link).is_some_and(open) {
-            return;
-        }
-        match node {
-            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.message(now, link, body)),
-            Node::Executor(n) => {
-                if let Body::Orders(orders) = body {
-                    let life = self.life(node);
-                    self.with_executor(n, life, |e, now| e.orders(now, link, orders));
-                }
-            }
-        }
-    }
-
-    /// A process closes a link; the other end hears of it unless it is cut off.
-    fn close(&mut self, node: Node, link: LinkId) {
-        let Some(wire) = self.network.wires.get_mut(&link) else {
-            return;
-        };
-        let (other, _) = wire.other(node);
-        let end = wire.end(node);
-        wire.closed[end] = true;
-        if self.network.passes(node, other) {
-            self.at(800, Due::Closed(link, other));
-        }
-    }
-
-    fn closed(&mut self, link: LinkId, node: Node) {
-        let Some(wire) = self.network.wires.get_mut(&link) else {
-            return;
-        };
-        let end = wire.end(node);
-        if std::mem::replace(&mut wire.closed[end], true) {
-            return;
-        }
-        match node {
-            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_down(now, link)),
-            Node::Executor(n) => {
-                let life = self.life(node);
-                self.with_executor(n, life, |e, _| e.link_down(link));
-            }
-        }
-    }
-
-    fn dial(&mut self, from: Node, to: Node, life: u64) {
-        if self.life(from) != life || !self.is_up(from) {
-            return;
-        }
-        let wait = self.rng.random_range(40_000..200_000);
-        self.at(wait, Due::Dial(from, to, life));
-        let awake = self.frozen_until(from) <= self.now && self.frozen_until(to) <= self.now;
-        let reachable = self.network.passes(from, to) && self.network.passes(to, from);
-        if !awake || !reachable || !self.is_up(to) || self.network.joined(from, to) {
-            return;
-        }
-        let link = self.network.open(from, to);
-        self.link_up(from, to, link);
-        self.link_up(to, from, link);
-    }
-
-    fn link_up(&mut self, node: Node, other: Node, link: LinkId) {
-        let theirs = match other {
-            Node::Scheduler(n) => self.schedulers[n].scheduler.greeting(),
-            Node::Executor(n) => self.executors[n].executor.greeting(),
-        };
-        match node {
-            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_up(now, link, &theirs)),
-            Node::Executor(n) => {
-                let life = self.life(node);
-                self.with_executor(n, life, |e, now| e.link_up(now, link, &theirs));
-            }
-        }
-    }
-
     /// Hands a job in at a scheduler.
     pub fn hand_in(&mut self, number: JobNumber, scheduler: usize) {
         let caller = self.callers.caller_for(number);
@@ -742,56 +499,6 @@
         }
     }
 
-    /// Cuts a direction.
-    pub fn cut(&mut self, from: Node, to: Node) {
-        self.network.cuts.insert((from, to));
-    }
-
-    /// Heals all cuts; what they held up goes on.
-    pub fn heal(&mut self) {
-        self.network.cuts.clear();
-        let links: Vec<LinkId> = self.network.wires.keys().copied().collect();
-        for link in links {
-            for way in 0..2 {
-                let wire = self.network.wires.get_mut(&link).expect("it was listed");
-                let held = std::mem::take(&mut wire.held[way]);
-                let from = if way == 0 { wire.from } else { wire.to };
-                for body in held {
-                    self.send(from, link, body);
-                }
-            }
-            let wire = &self.network.wires[&link];
-            if wire.closed[0] != wire.closed[1] {
-                let open = if wire.closed[0] { wire.to } else { wire.from };
-                self.at(500, Due::Closed(link, open));
-            }
-        }
-        self.network.wires.retain(|_, w| w.closed != [true; 2]);
-    }
-
-    /// Resets the links of a process.
-    pub fn reset(&mut self, node: Node) {
-        for link in self.network.links_of(node) {
-            let wire = &self.network.wires[&link];
-            let (from, to) = (wire.from, wire.to);
-            self.at(100, Due::Closed(link, from));
-            self.at(100, Due::Closed(link, to));
-        }
-    }
-
-    /// A worker crashes; another life of it comes up at once or later.
-    pub fn crash_worker(&mut self, number: usize) {
-        self.workers[number].up = false;
-        self.workers[number].running.clear();
-    }
-
-    /// A worker that had crashed is up again, in a new life.
-    pub fn raise_worker(&mut self, number: usize) {
-        if !self.workers[number].up {
-            self.workers[number] = self.new_worker();
-        }
-    }
-
     /// How many schedulers and executors there are.
     pub fn size(&self) -> (usize, usize) {
         (self.schedulers.len(), self.executors.len())
--- /dev/null
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -0,0 +1,142 @@
+//! The links of a world: messages on their way, cuts, resets.
+
+use rand::Rng;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+use super::Due;
+use super::World;
+use crate::dispatch::network::Node;
+
+impl World {
+    pub(super) fn send(&mut self, from: Node, link: LinkId, body: Body) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let (to, way) = wire.other(from);
+        if wire.closed != [false; 2] {
+            return;
+        }
+        if self.network.cuts.contains(&(from, to)) || !wire.held[way].is_empty() {
+            wire.held[way].push(body);
+            return;
+        }
+        let arrives = (self.now + self.rng.random_range(300..1500)).max(wire.last[way] + 1);
+        wire.last[way] = arrives;
+        let wait = arrives - self.now;
+        self.at(wait, Due::Deliver(link, to, body));
+    }
+
+    pub(super) fn deliver(&mut self, link: LinkId, node: Node, body: Body) {
+        let open = |w: &crate::dispatch::network::Wire| !w.closed[w.end(node)];
+        if !self.network.wires.get(&link).is_some_and(open) {
+            return;
+        }
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.message(now, link, body)),
+            Node::Executor(n) => {
+                if let Body::Orders(orders) = body {
+                    let life = self.life(node);
+                    self.with_executor(n, life, |e, now| e.orders(now, link, orders));
+                }
+            }
+        }
+    }
+
+    /// A process closes a link; the other end hears of it unless it is cut off.
+    pub(super) fn close(&mut self, node: Node, link: LinkId) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let (other, _) = wire.other(node);
+        let end = wire.end(node);
+        wire.closed[end] = true;
+        if self.network.passes(node, other) {
+            self.at(800, Due::Closed(link, other));
+        }
+    }
+
+    pub(super) fn closed(&mut self, link: LinkId, node: Node) {
+        let Some(wire) = self.network.wires.get_mut(&link) else {
+            return;
+        };
+        let end = wire.end(node);
+        if std::mem::replace(&mut wire.closed[end], true) {
+            return;
+        }
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_down(now, link)),
+            Node::Executor(n) => {
+                let life = self.life(node);
+                self.with_executor(n, life, |e, _| e.link_down(link));
+            }
+        }
+    }
+
+    pub(super) fn dial(&mut self, from: Node, to: Node, life: u64) {
+        if self.life(from) != life || !self.is_up(from) {
+            return;
+        }
+        let wait = self.rng.random_range(40_000..200_000);
+        self.at(wait, Due::Dial(from, to, life));
+        let awake = self.frozen_until(from) <= self.now && self.frozen_until(to) <= self.now;
+        let reachable = self.network.passes(from, to) && self.network.passes(to, from);
+        if !awake || !reachable || !self.is_up(to) || self.network.joined(from, to) {
+            return;
+        }
+        let link = self.network.open(from, to);
+        self.link_up(from, to, link);
+        self.link_up(to, from, link);
+    }
+
+    pub(super) fn link_up(&mut self, node: Node, other: Node, link: LinkId) {
+        let theirs = match other {
+            Node::Scheduler(n) => self.schedulers[n].scheduler.greeting(),
+            Node::Executor(n) => self.executors[n].executor.greeting(),
+        };
+        match node {
+            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.link_up(now, link, &theirs)),
+            Node::Executor(n) => {
+                let life = self.life(node);
+                self.with_executor(n, life, |e, now| e.link_up(now, link, &theirs));
+            }
+        }
+    }
+
+    /// Cuts a direction.
+    pub fn cut(&mut self, from: Node, to: Node) {
+        self.network.cuts.insert((from, to));
+    }
+
+    /// Heals all cuts; what they held up goes on.
+    pub fn heal(&mut self) {
+        self.network.cuts.clear();
+        let links: Vec<LinkId> = self.network.wires.keys().copied().collect();
+        for link in links {
+            for way in 0..2 {
+                let wire = self.network.wires.get_mut(&link).expect("it was listed");
+                let held = std::mem::take(&mut wire.held[way]);
+                let from = if way == 0 { wire.from } else { wire.to };
+                for body in held {
+                    self.send(from, link, body);
+                }
+            }
+            let wire = &self.network.wires[&link];
+            if wire.closed[0] != wire.closed[1] {
+                let open = if wire.closed[0] { wire.to } else { wire.from };
+                self.at(500, Due::Closed(link, open));
+            }
+        }
+        self.network.wires.retain(|_, w| w.closed != [true; 2]);
+    }
+
+    /// Resets the links of a process.
+    pub fn reset(&mut self, node: Node) {
+        for link in self.network.links_of(node) {
+            let wire = &self.network.wires[&link];
+            let (from, to) = (wire.from, wire.to);
+            self.at(100, Due::Closed(link, from));
+            self.at(100, Due::Closed(link, to));
+        }
+    }
+}
