--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -16,6 +16,7 @@
 use crate::platform::callers;
 use crate::platform::callers::CallerJob;
 use crate::platform::fleet::Fleet;
+use crate::platform::fleet::Machine;
 use crate::platform::store::Mood;
 
 /// What came of a soak.
@@ -119,6 +120,7 @@
 enum Healing {
     StartEntry(usize),
     StartAgent(usize),
+    StartAll,
     ContinueEntry(usize),
     ContinueAgent(usize),
     Proxy(usize),
@@ -137,6 +139,10 @@
         match healing {
             Healing::StartEntry(n) => fleet.entries[n].start(),
             Healing::StartAgent(n) => fleet.agents[n].start(),
+            Healing::StartAll => {
+                fleet.agents.iter_mut().for_each(Machine::start);
+                fleet.entries.iter_mut().for_each(Machine::start);
+            }
             Healing::ContinueEntry(n) => fleet.entries[n].signal(Signal::SIGCONT),
             Healing::ContinueAgent(n) => fleet.agents[n].signal(Signal::SIGCONT),
             Healing::Proxy(n) => fleet.proxies[n].set(Fault::default()),
@@ -149,7 +155,7 @@
 fn fault(rng: &mut ChaCha8Rng, fleet: &mut Fleet) -> Healing {
     let entry = rng.random_range(0..ENTRIES);
     let agent = rng.random_range(0..AGENTS);
-    match rng.random_range(0..11) {
+    match rng.random_range(0..12) {
         0 => {
             fleet.entries[entry].kill();
             Healing::StartEntry(entry)
@@ -198,6 +204,11 @@
             fleet.workers.lock().unwrap().crash(agent);
             Healing::Nothing
         }
+        10 => {
+            fleet.entries.iter_mut().for_each(Machine::kill);
+            fleet.agents.iter_mut().for_each(Machine::kill);
+            Healing::StartAll
+        }
         _ => {
             fleet.store.revoke_keys();
             fleet.store.compact();
