metrics: times of jobs and runs as histograms, ages of beliefs, calls to the store

Job times by queue and stage, run times by how they ended, the ages of configuration, reports and peers' words, and calls to the store by kind and result. The words of ends stand once, with EndKind.

Test. test_platform_metrics_tell_times_ages_and_calls, on real processes.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -12,6 +12,7 @@
 use stackcourse_testutils::platform::callers::PREFIX;
 use stackcourse_testutils::platform::fleet;
 use stackcourse_testutils::platform::fleet::Fleet;
+use stackcourse_testutils::platform::fleet::Machine;
 use stackcourse_testutils::platform::fleet::SERVICE;
 use stackcourse_testutils::platform::soak;
 use stackcourse_testutils::platform::store::Mood;
@@ -261,3 +262,37 @@
         assert!(enough, "seed {seed} did not recover: {report:?}");
     }
 }
+
+async fn page_of(machine: &Machine) -> String {
+    let page = fleet::metrics_page(machine.metrics()).await;
+    page.expect("a metrics page")
+}
+
+#[actix_rt::test]
+async fn test_platform_metrics_tell_times_ages_and_calls() {
+    let fleet = Fleet::start(binary(), 1, 2).await;
+    let entry = fleet.entries[0].callers();
+    let got = callers::hand_in(&fleet.workers, entry, job(1, 3, 40)).await;
+    assert_eq!(got.state, "completed");
+    let page = page_of(&fleet.entries[0]).await;
+    for stage in ["placed", "completed"] {
+        let line =
+            format!(r#"stackcourse_job_seconds_count{{queue="r-{SERVICE}",stage="{stage}"}} 1"#);
+        assert!(page.contains(&line), "{line} in {page}");
+    }
+    for of in ["configuration", "executor_report", "peer_update"] {
+        let name = format!(r#"stackcourse_belief_age_ms{{of="{of}"}}"#);
+        assert!(page.contains(&name), "{name} in {page}");
+    }
+    assert!(page.contains(r#"stackcourse_store_calls_total{kind="list",result="200"}"#));
+    let mut runs = 0;
+    for agent in &fleet.agents {
+        let page = page_of(agent).await;
+        let counts = page.lines().filter_map(|l| {
+            let rest = l.strip_prefix(r#"stackcourse_run_seconds_count{end="done"} "#)?;
+            rest.parse::<u64>().ok()
+        });
+        runs += counts.sum::<u64>();
+    }
+    assert_eq!(runs, 3);
+}
--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -1,13 +1,16 @@
 //! Metrics of the dispatch plane in Prometheus' text format, made when asked for.
 
 use prometheus::Encoder;
+use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use stackcourse_lib::clock;
 use stackcourse_lib::dispatch::executor::Executor;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
+use stackcourse_lib::prelude::Mono;
 
 struct Page {
     registry: Registry,
@@ -40,6 +43,11 @@
         registered.expect("each name is used once");
     }
 
+    fn histogram(&self, histogram: HistogramVec) {
+        let registered = self.registry.register(Box::new(histogram));
+        registered.expect("each name is used once");
+    }
+
     fn text(&self) -> String {
         let mut out = Vec::new();
         let written = TextEncoder::new().encode(&self.registry.gather(), &mut out);
@@ -49,7 +57,7 @@
 }
 
 /// The metrics of a scheduler. `dropped` counts log lines that were left out.
-pub fn of_scheduler(scheduler: &Scheduler, dropped: u64) -> String {
+pub fn of_scheduler(scheduler: &Scheduler, now: Mono, dropped: u64) -> String {
     let page = Page {
         registry: Registry::new(),
     };
@@ -84,6 +92,15 @@
         ("ready", i64::from(scheduler.is_ready())),
     ];
     page.gauges("state", "What the scheduler holds now.", &held);
+    let ages = scheduler.ages(now);
+    let ages = [
+        ("configuration", clock::millis(ages.catalog) as i64),
+        ("executor_report", clock::millis(ages.executors) as i64),
+        ("peer_update", clock::millis(ages.peers) as i64),
+    ];
+    let help = "How old what the scheduler believes is at most, in milliseconds.";
+    page.gauges("belief_age_ms", help, &ages);
+    page.histogram(scheduler.timings().collector());
     page.text()
 }
 
@@ -115,5 +132,23 @@
         ("schedulers_linked", executor.linked() as i64),
     ];
     page.gauges("executor_state", "What the executor holds now.", &held);
+    page.histogram(executor.timings().collector());
+    page.text()
+}
+
+/// A counter of calls to the store, by kind and result.
+pub fn call_counter() -> IntCounterVec {
+    let help = "Calls to the store, by kind and result.";
+    let opts = Opts::new("stackcourse_store_calls_total", help);
+    IntCounterVec::new(opts, &["kind", "result"]).expect("a constant name")
+}
+
+/// The page of such a counter.
+pub fn of_calls(calls: &IntCounterVec) -> String {
+    let page = Page {
+        registry: Registry::new(),
+    };
+    let registered = page.registry.register(Box::new(calls.clone()));
+    registered.expect("each name is used once");
     page.text()
 }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -12,3 +12,4 @@
 pub mod executor;
 pub mod model;
 pub mod scheduler;
+pub mod timings;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -23,6 +23,7 @@
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::timings::RunTimings;
 use crate::event::Event;
 use crate::event::Kind;
 use crate::prelude::*;
@@ -163,6 +164,7 @@
     hold_at: Mono,
     leaving: bool,
     counts: ExecutorCounts,
+    timings: RunTimings,
     actions: Vec<Action>,
 }
 
@@ -189,6 +191,7 @@
             hold_at: Mono::default(),
             leaving: false,
             counts: ExecutorCounts::default(),
+            timings: RunTimings::default(),
             actions: Vec::new(),
             setup,
         }
@@ -204,6 +207,11 @@
         self.counts
     }
 
+    /// How long runs take.
+    pub fn timings(&self) -> &RunTimings {
+        &self.timings
+    }
+
     /// Tasks running, and tasks waiting here.
     pub fn load(&self) -> (usize, usize) {
         (self.runs.len(), self.queue.len())
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -339,6 +339,7 @@
             return;
         };
         self.used = less(self.used, run.demand);
+        self.timings.note(kind.word(), now.since(run.began));
         match kind {
             EndKind::Done => self.counts.done += 1,
             EndKind::Failed => self.counts.failed += 1,
--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -298,6 +298,21 @@
         self as u32 + 1
     }
 
+    /// Its word, for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            EndKind::Done => "done",
+            EndKind::Failed => "failed",
+            EndKind::Stopped => "stopped",
+            EndKind::Lost => "lost",
+            EndKind::Stalled => "stalled",
+            EndKind::Unavailable => "unavailable",
+            EndKind::Expired => "expired",
+            EndKind::Claimed => "claimed",
+            EndKind::NoRoom => "no-room",
+        }
+    }
+
     /// Reads it from a message.
     pub fn from_code(code: u32) -> Option<EndKind> {
         EndKind::ALL.into_iter().find(|k| k.code() == code)
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -32,6 +32,7 @@
 use crate::dispatch::scheduler::jobs::Job;
 use crate::dispatch::scheduler::peers::Following;
 use crate::dispatch::scheduler::peers::Peer;
+use crate::dispatch::timings::JobTimings;
 use crate::event::Event;
 use crate::event::Kind;
 use crate::prelude::*;
@@ -97,6 +98,17 @@
     pub causes: BTreeMap<&'static str, u64>,
 }
 
+/// How old what a scheduler believes is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BeliefAges {
+    /// The catalog, since it came into force here.
+    pub catalog: Duration,
+    /// The oldest report of a linked executor.
+    pub executors: Duration,
+    /// The oldest word of a linked peer.
+    pub peers: Duration,
+}
+
 /// How long the outcomes of jobs are remembered for callers who ask again.
 const MEMORY: Duration = Duration::from_secs(20);
 /// Heartbeats on links are this far apart.
@@ -145,6 +157,9 @@
     last_taken: Mono,
     rng: SmallRng,
     counts: SchedulerCounts,
+    timings: JobTimings,
+    /// When the catalog in force came into force.
+    catalog_since: Mono,
     actions: Vec<Action>,
     now: Mono,
     /// Since when this process has run without a pause.
@@ -179,6 +194,8 @@
             last_taken: Mono::default(),
             rng,
             counts: SchedulerCounts::default(),
+            timings: JobTimings::default(),
+            catalog_since: Mono::default(),
             actions: Vec::new(),
             now: Mono::default(),
             awake_since: Mono::default(),
@@ -231,6 +248,24 @@
         &self.counts
     }
 
+    /// How long jobs take.
+    pub fn timings(&self) -> &JobTimings {
+        &self.timings
+    }
+
+    /// How old what is believed is: the catalog, since when it is in force; the oldest reports of
+    /// executors and the oldest words of peers that are linked.
+    pub fn ages(&self, now: Mono) -> BeliefAges {
+        let executors = self.executors.values().filter(|e| e.link.is_some());
+        let peers = self.peers.values().filter(|p| p.link.is_some());
+        let oldest = |heard: Option<Mono>| heard.map_or(Duration::ZERO, |at| now.since(at));
+        BeliefAges {
+            catalog: now.since(self.catalog_since),
+            executors: oldest(executors.map(|e| e.heard).min()),
+            peers: oldest(peers.map(|p| p.heard).min()),
+        }
+    }
+
     /// The catalog in force.
     pub fn catalog(&self) -> Option<&CatalogIndex> {
         self.catalog.as_ref()
@@ -250,6 +285,7 @@
         let detail = format!("{}, before {}", catalog.version, self.version());
         self.log(Kind::ConfigInForce, detail);
         self.catalog = Some(CatalogIndex::new(catalog));
+        self.catalog_since = now;
         self.tell_catalog();
     }
 
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -102,7 +102,7 @@
 
     fn task_again(&mut self, key: ExecutorKey, name: TaskName, kind: EndKind) {
         let number = name.job;
-        let cause = cause_of(kind);
+        let cause = kind.word();
         *self.counts.again.entry(cause).or_default() += 1;
         let place = self.executors.get(key).map(|e| e.name.clone());
         let place = place.unwrap_or_default();
@@ -156,17 +156,3 @@
         self.end_job(number, JobOutcome::Unknown, "claimed");
     }
 }
-
-fn cause_of(kind: EndKind) -> &'static str {
-    match kind {
-        EndKind::Done => "done",
-        EndKind::Failed => "failed",
-        EndKind::Stopped => "stopped",
-        EndKind::Lost => "lost",
-        EndKind::Stalled => "stalled",
-        EndKind::Unavailable => "unavailable",
-        EndKind::Expired => "expired",
-        EndKind::Claimed => "claimed",
-        EndKind::NoRoom => "no-room",
-    }
-}
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::timings::Stage;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -241,6 +242,10 @@
             return;
         }
         self.counts.placed += starts.len() as u64;
+        if !job.began {
+            let waited = now.since(job.arrived);
+            self.timings.note(&job.request.queue, Stage::Placed, waited);
+        }
         job.began = true;
         let s = &job.request.steps[step as usize];
         let latest = job.objective_at - job.chain[step as usize];
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
+use crate::dispatch::timings::Stage;
 use crate::event::Kind;
 use crate::prelude::*;
 
@@ -158,7 +159,9 @@
                 self.order_stop(key, job.name(task), task.attempts);
             }
         }
-        let took = crate::clock::millis(self.now.since(job.arrived));
+        let span = self.now.since(job.arrived);
+        self.note_end_time(&job, outcome, span);
+        let took = crate::clock::millis(span);
         let mut detail = format!("{number} {} {cause} after {took} ms", outcome.word());
         if matches!(outcome, JobOutcome::Refused(_) | JobOutcome::GivenUp) {
             detail.push_str(&self.room_in_words(&job));
@@ -180,6 +183,15 @@
         }
     }
 
+    fn note_end_time(&self, job: &Job, outcome: JobOutcome, span: Duration) {
+        let stage = match outcome {
+            JobOutcome::Completed => Stage::Completed,
+            JobOutcome::Refused(_) | JobOutcome::GivenUp => Stage::TurnedAway,
+            JobOutcome::Failed | JobOutcome::Cancelled | JobOutcome::Unknown => return,
+        };
+        self.timings.note(&job.request.queue, stage, span);
+    }
+
     /// What was known of the workers when a job was turned away.
     fn room_in_words(&self, job: &Job) -> String {
         let linked = self.executors.values().filter(|e| e.link.is_some());
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -316,13 +316,18 @@
     })
 }
 
-/// Reads a metric of a process.
-pub async fn metric(address: SocketAddr, name: &str, label: &str) -> Option<u64> {
+/// Reads the metrics page of a process.
+pub async fn metrics_page(address: SocketAddr) -> Option<String> {
     let client = awc::Client::default();
     let call = client.get(format!("http://{address}/metrics"));
     let mut answer = call.timeout(Duration::from_secs(2)).send().await.ok()?;
     let body = answer.body().await.ok()?;
-    let text = String::from_utf8_lossy(&body).into_owned();
+    Some(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Reads a metric of a process.
+pub async fn metric(address: SocketAddr, name: &str, label: &str) -> Option<u64> {
+    let text = metrics_page(address).await?;
     let line = text.lines().find(|l| {
         l.starts_with(&format!("stackcourse_{name}{{")) && l.contains(&format!("\"{label}\""))
     })?;
