--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -21,6 +21,16 @@
 /// A scheduler that has started or come back within this time may have had jobs in its life before.
 const YOUNG: Duration = Duration::from_millis(1300);
 
+/// How far a claim is.
+enum ClaimState {
+    /// Executors have yet to confirm it.
+    Open,
+    /// Nobody else runs the job, nor will.
+    Settled,
+    /// The job may be at work where it can't be claimed.
+    OutOfReach,
+}
+
 impl Scheduler {
     /// Works out anew which peers can't be heard here, though some executor hears them: they may
     /// be at work.
@@ -184,8 +194,6 @@
 
     /// Begins the jobs that every executor has confirmed, or that can't run where it has not.
     pub(super) fn settle_claims(&mut self) {
-        let now = self.now;
-        let lapse = self.setup.lapse;
         let grown = !self.is_young();
         if !self.peers_settled() || !(grown || self.has_met_roster()) {
             return;
@@ -193,37 +201,53 @@
         if grown && !self.reaches_enough() {
             self.end_claimed_young();
         }
-        let all = self.must_reach_all();
-        let awake_since = self.awake_since;
         for number in self.claiming() {
-            // A peer that has it and is heard may be at work on it where it can't be claimed.
-            let rival = self.linked_holder(number).is_some();
-            let executors = &self.executors;
-            let silence = |heard: Mono| now.since(heard.max(awake_since));
-            let lost = |e: &ExecutorView| e.link.is_none() && silence(e.heard) >= lapse;
-            if rival && executors.values().any(lost) {
-                self.end_unclaimable(number);
-                continue;
-            }
-            let may_run = |e: &ExecutorView| all || !lost(e);
-            let open = |key: &ExecutorKey| executors.get(*key).is_some_and(may_run);
-            let Some(job) = self.jobs.get_mut(&number) else {
-                continue;
-            };
-            let Phase::Claiming(asked) = &job.phase else {
-                continue;
-            };
-            let confirmed = !asked.iter().any(open);
-            // What a forerunner of this scheduler had started is over by then, asked about or not,
-            // unless a peer may be at work unheard.
-            let over = grown && job.claimed_young && !all;
-            if confirmed || over {
-                job.phase = Phase::Active;
-                self.queue_job(number);
+            match self.claim_state(number) {
+                ClaimState::Open => {}
+                ClaimState::Settled => self.begin_claimed(number),
+                ClaimState::OutOfReach => self.end_unclaimable(number),
             }
         }
     }
 
+    fn claim_state(&self, number: JobNumber) -> ClaimState {
+        let Some(job) = self.jobs.get(&number) else {
+            return ClaimState::Open;
+        };
+        let Phase::Claiming(asked) = &job.phase else {
+            return ClaimState::Open;
+        };
+        // A peer that has it and is heard may be at work on it where it can't be claimed.
+        let rival = self.linked_holder(number).is_some();
+        if rival && self.executors.values().any(|e| self.is_lost(e)) {
+            return ClaimState::OutOfReach;
+        }
+        let all = self.must_reach_all();
+        let may_run = |e: &ExecutorView| all || !self.is_lost(e);
+        let open = |key: &ExecutorKey| self.executors.get(*key).is_some_and(may_run);
+        let confirmed = !asked.iter().any(open);
+        // What a forerunner of this scheduler had started is over by then, asked about or not,
+        // unless a peer may be at work unheard.
+        let over = !self.is_young() && job.claimed_young && !all;
+        if confirmed || over {
+            ClaimState::Settled
+        } else {
+            ClaimState::Open
+        }
+    }
+
+    /// Whether nothing that was placed at an executor runs there any more.
+    fn is_lost(&self, executor: &ExecutorView) -> bool {
+        executor.link.is_none() && self.silence(executor.heard) >= self.setup.lapse
+    }
+
+    fn begin_claimed(&mut self, number: JobNumber) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.phase = Phase::Active;
+        }
+        self.queue_job(number);
+    }
+
     /// Jobs that came in while this scheduler was young, and that it can't claim now either.
     fn end_claimed_young(&mut self) {
         for number in self.claiming() {
