--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -22,9 +22,9 @@
 /// Waits between tries while the store does not answer, shortest and longest.
 const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// The lease of a registered process, and how often it is renewed.
-const REGISTRATION: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(3));
+const REGISTRATION: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(4500));
 /// Every so many renewals a process makes sure that its key stands.
-const LOOK_EVERY: u32 = 3;
+const LOOK_EVERY: u32 = 2;
 
 /// What the follower tells, and where it writes its log lines.
 pub trait Follower: 'static {
