--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::SinkExt;
 use futures::StreamExt;
 use prost::Message;
+use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::prelude::LinkId;
 use stackcourse_lib::protos::dispatch as proto;
 use stackcourse_lib::protos::dispatch::frame::Body;
@@ -20,8 +20,6 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-/// How long connecting and the exchange of greetings may take.
-pub const GREETING: Duration = Duration::from_millis(400);
 /// The largest frame, in bytes.
 pub const MAX_FRAME: usize = 16 << 20;
 /// Connections that wait to be accepted.
@@ -58,6 +56,8 @@
 
 /// Who hears what happens on a link.
 pub trait Listener: 'static {
+    /// How links are set up.
+    fn policy(&self) -> LinkPolicy;
     /// The greeting to send.
     fn greeting(&self) -> proto::Greeting;
     /// Whether a link to this process is wanted.
@@ -119,7 +119,7 @@
         let theirs = greet(&mut wire, listener.greeting()).await?;
         Ok::<_, ChannelError>((wire, theirs))
     };
-    let timed = tokio::time::timeout(GREETING, connect).await;
+    let timed = tokio::time::timeout(listener.policy().greeting, connect).await;
     let (wire, theirs) = timed.map_err(|_| ChannelError::Silent)??;
     run(wire, theirs, listener).await;
     Ok(())
@@ -133,7 +133,7 @@
 pub async fn serve(stream: TcpStream, listener: &impl Listener) -> Result<(), ChannelError> {
     let mut wire = framed(stream);
     let greeting = greet(&mut wire, listener.greeting());
-    let timed = tokio::time::timeout(GREETING, greeting).await;
+    let timed = tokio::time::timeout(listener.policy().greeting, greeting).await;
     let theirs = timed.map_err(|_| ChannelError::Silent)??;
     run(wire, theirs, listener).await;
     Ok(())
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -14,6 +14,7 @@
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::event::Event;
 use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::LinkId;
@@ -54,6 +55,7 @@
 }
 
 struct Inner<W> {
+    policy: LinkPolicy,
     executor: RefCell<Executor>,
     worker: W,
     start: Instant,
@@ -65,6 +67,7 @@
     /// Starts an executor.
     pub fn start(setup: ExecutorSetup, worker: W, log: LogSink) -> ExecutorHost<W> {
         let inner = Inner {
+            policy: setup.policy.links,
             executor: RefCell::new(Executor::new(setup)),
             worker,
             start: Instant::now(),
@@ -168,6 +171,10 @@
 }
 
 impl<W: Worker> Listener for ExecutorHost<W> {
+    fn policy(&self) -> LinkPolicy {
+        self.inner.policy
+    }
+
     fn greeting(&self) -> proto::Greeting {
         self.read(Executor::greeting)
     }
--- a/lib/daemon/src/dispatch/links.rs
+++ b/lib/daemon/src/dispatch/links.rs
@@ -15,9 +15,6 @@
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
 
-/// Waits between tries to reach a process, shortest and longest.
-const REDIAL: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(300));
-
 /// The links.
 #[derive(Default)]
 pub struct Links {
@@ -58,17 +55,18 @@
 /// Keeps a link to an address for as long as the process lives. While `linked` says that there is
 /// one already, it only looks again.
 pub async fn keep<L: Listener>(address: SocketAddr, listener: L, linked: impl Fn() -> bool) {
-    let mut wait = REDIAL.0;
+    let policy = listener.policy();
+    let mut wait = policy.redial_first;
     loop {
         if linked() {
-            actix_rt::time::sleep(REDIAL.1).await;
+            actix_rt::time::sleep(policy.redial_last).await;
             continue;
         }
         if channel::dial(address, &listener).await.is_ok() {
-            wait = REDIAL.0;
+            wait = policy.redial_first;
         }
         actix_rt::time::sleep(jitter(wait)).await;
-        wait = (wait * 2).min(REDIAL.1);
+        wait = (wait * 2).min(policy.redial_last);
     }
 }
 
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -11,6 +11,7 @@
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::model::JobRequest;
+use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::dispatch::scheduler::Action;
 use stackcourse_lib::dispatch::scheduler::CallerId;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
@@ -32,9 +33,6 @@
 
 /// Time passes for the scheduler in steps of this.
 const TICK: Duration = Duration::from_millis(20);
-/// How long the other scheduler has to connect first. Two links do no harm, but jobs of a scheduler
-/// that has just started wait until it has met its peers.
-const YIELD: Duration = Duration::from_millis(60);
 
 /// A scheduler, its links and its callers. Cheap to clone.
 #[derive(Clone)]
@@ -43,6 +41,7 @@
 }
 
 struct Inner {
+    policy: LinkPolicy,
     scheduler: RefCell<Scheduler>,
     start: Instant,
     own: SocketAddr,
@@ -95,6 +94,7 @@
     ) -> std::io::Result<SchedulerHost> {
         let listener = channel::listen(listen)?;
         let inner = Inner {
+            policy: setup.policy.links,
             scheduler: RefCell::new(Scheduler::new(setup)),
             start: Instant::now(),
             own,
@@ -188,7 +188,7 @@
         actix_rt::spawn(async move {
             // Of two schedulers that know each other, one is given the time to connect first.
             if address < host.inner.own {
-                actix_rt::time::sleep(YIELD).await;
+                actix_rt::time::sleep(host.inner.policy.yield_for).await;
             }
             let known = address.to_string();
             let reading = host.clone();
@@ -215,6 +215,10 @@
 }
 
 impl Listener for SchedulerHost {
+    fn policy(&self) -> LinkPolicy {
+        self.inner.policy
+    }
+
     fn greeting(&self) -> proto::Greeting {
         self.read(Scheduler::greeting)
     }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -11,5 +11,6 @@
 pub mod catalog;
 pub mod executor;
 pub mod model;
+pub mod policy;
 pub mod scheduler;
 pub mod timings;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -23,6 +23,7 @@
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::policy::Policy;
 use crate::dispatch::timings::RunTimings;
 use crate::event::Event;
 use crate::event::Kind;
@@ -59,6 +60,8 @@
     /// How long the worker is asked to keep runs alive after a renewal. With the lease it must not
     /// last longer than schedulers wait before they hold what was placed here to be over.
     pub worker_hold: Duration,
+    /// The figures that decide.
+    pub policy: Policy,
 }
 
 /// What the executor wants done.
@@ -105,18 +108,6 @@
     pub strangers: u64,
 }
 
-/// A hold waits this long at the worker. When its answer is lost, ends go unread for about twice
-/// as long.
-const HOLD_WAIT: Duration = Duration::from_millis(25);
-/// Updates to one scheduler are at least this far apart, unless they tell of ends.
-const REPORT_GAP: Duration = Duration::from_millis(15);
-/// The same for each scheduler that is linked, so that reports do not grow with their number.
-const REPORT_GAP_EACH: Duration = Duration::from_millis(3);
-/// Each scheduler hears from the executor at least this often.
-const HEARTBEAT: Duration = Duration::from_millis(100);
-/// Calls of a job in another scheduler's favour are remembered for this long.
-const CLAIM_MEMORY: Duration = Duration::from_secs(20);
-
 /// The worker's clock may be this much slow.
 const LAPSE_FACTOR: f64 = 1.1;
 
@@ -181,7 +172,7 @@
             claims: BTreeMap::new(),
             last_end: 0,
             profile_edition: 1,
-            health: Health::default(),
+            health: Health::new(setup.policy.health),
             unclean_since: setup.started,
             kept_until: Mono::default(),
             vacant: false,
@@ -317,7 +308,7 @@
         if beat.draining {
             self.log(Kind::WorkerDraining, beat.life.clone());
         }
-        self.health = Health::default();
+        self.health = Health::new(self.setup.policy.health);
         self.unclean_since = now;
         self.worker = Some(Worker {
             beat,
@@ -373,7 +364,10 @@
         };
         let (life, seen) = (worker.beat.life.clone(), worker.seen);
         let (deadline_ms, wait) = if worker.clean && worker.answers {
-            (self.deadline(now, self.setup.worker_hold), HOLD_WAIT)
+            (
+                self.deadline(now, self.setup.worker_hold),
+                self.setup.policy.orders.hold_wait,
+            )
         } else {
             (0, Duration::ZERO)
         };
--- a/lib/src/dispatch/executor/claims.rs
+++ b/lib/src/dispatch/executor/claims.rs
@@ -1,6 +1,5 @@
 //! Claims of jobs: what others have of a job ends, and the claimant is told once nothing is left.
 
-use super::CLAIM_MEMORY;
 use super::Executor;
 use super::LAPSE_FACTOR;
 use crate::dispatch::model::EndKind;
@@ -8,9 +7,6 @@
 use crate::dispatch::model::TaskName;
 use crate::prelude::*;
 
-/// Claims of two schedulers within this time are at odds; a later one replaces the earlier.
-const RIVALRY: Duration = Duration::from_secs(2);
-
 /// A job that a scheduler has claimed.
 #[derive(Clone, Debug)]
 pub(super) struct Claim {
@@ -28,7 +24,7 @@
         let rival = self.claims.get(&job).filter(|c| c.scheduler != scheduler);
         if let Some((rival, at)) = rival.map(|c| (c.scheduler.clone(), c.at)) {
             let linked = self.sessions.get(&rival).is_some_and(|s| s.link.is_some());
-            let at_odds = linked && now.since(at) < RIVALRY;
+            let at_odds = linked && now.since(at) < self.setup.policy.claims.contest;
             if at_odds && rival.as_str() < scheduler {
                 return self.deny(scheduler, job);
             }
@@ -108,6 +104,7 @@
     }
 
     pub(super) fn expire_claims(&mut self, now: Mono) {
-        self.claims.retain(|_, c| now.since(c.at) < CLAIM_MEMORY);
+        let memory = self.setup.policy.claims.memory;
+        self.claims.retain(|_, c| now.since(c.at) < memory);
     }
 }
--- a/lib/src/dispatch/executor/health.rs
+++ b/lib/src/dispatch/executor/health.rs
@@ -5,27 +5,14 @@
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::policy::Health as HealthPolicy;
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// The weight of the newest reading in the mean pace.
-const PACE_WEIGHT: f64 = 0.15;
-/// The same where the newest reading is less than half of the mean: a worker that was slow has few
-/// tasks to show that it is well again.
-const RECOVERY_WEIGHT: f64 = 0.45;
-/// So many failures of different jobs in a row make a worker suspect.
-const FAILURES: u32 = 3;
-/// Waits between tasks on trial at a suspect worker, shortest and longest. They double with each
-/// trial that goes wrong.
-const TRIAL_GAP: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(3200));
-/// A task that has made no progress for this long, and a tenth of its estimate, stands still.
-const STALL: Duration = Duration::from_millis(170);
-/// Progress below this share says too little about the pace, in percent.
-const EARLY: u32 = 10;
-
 /// The worker's recent history.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Health {
+    policy: HealthPolicy,
     /// How long tasks take against their estimates; 0 if not known.
     pace: f64,
     failures: u32,
@@ -37,12 +24,25 @@
 }
 
 impl Health {
+    /// Nothing is known of the worker yet.
+    pub fn new(policy: HealthPolicy) -> Health {
+        Health {
+            policy,
+            pace: 0.0,
+            failures: 0,
+            last_failed: None,
+            trial: None,
+            gap: Duration::ZERO,
+            suspect: false,
+        }
+    }
+
     /// A run ended whole.
     pub fn done(&mut self, ran: Duration, estimate: Duration) {
         self.failures = 0;
         self.last_failed = None;
         self.suspect = false;
-        self.gap = TRIAL_GAP.0;
+        self.gap = self.policy.trial_first;
         self.learn(ran, estimate);
     }
 
@@ -52,7 +52,7 @@
             self.failures += 1;
         }
         self.last_failed = Some(job);
-        if self.failures >= FAILURES {
+        if self.failures >= self.policy.failures {
             self.suspected(now);
         }
     }
@@ -61,16 +61,19 @@
         let next = if self.suspect {
             self.gap * 2
         } else {
-            TRIAL_GAP.0
+            self.policy.trial_first
         };
-        self.gap = next.clamp(TRIAL_GAP.0, TRIAL_GAP.1);
+        self.gap = next.clamp(self.policy.trial_first, self.policy.trial_last);
         self.suspect = true;
         self.trial = Some(now);
     }
 
     /// A run stood still.
     pub fn stalled(&mut self, now: Mono) {
-        let at_once = self.suspect && self.trial.is_some_and(|at| now.since(at) < TRIAL_GAP.0 / 4);
+        let at_once = self.suspect
+            && self
+                .trial
+                .is_some_and(|at| now.since(at) < self.policy.trial_first / 4);
         if !at_once {
             self.suspected(now);
         }
@@ -78,7 +81,7 @@
 
     /// A run that has not ended is this far.
     pub fn progress(&mut self, ran: Duration, percent: u32, estimate: Duration) {
-        if (EARLY..100).contains(&percent) {
+        if (self.policy.least_progress..100).contains(&percent) {
             let whole = ran.mul_f64(100.0 / f64::from(percent));
             if whole > estimate.mul_f64(2.0) {
                 self.learn(whole, estimate);
@@ -96,9 +99,9 @@
         } else {
             let recovers = ratio < self.pace / 2.0;
             let weight = if recovers {
-                RECOVERY_WEIGHT
+                self.policy.recovery_weight
             } else {
-                PACE_WEIGHT
+                self.policy.pace_weight
             };
             self.pace += weight * (ratio - self.pace);
         }
@@ -131,8 +134,9 @@
         if !answers {
             return;
         }
+        let stall = self.setup.policy.health.stall;
         let still = |run: &super::runs::Run| {
-            let bound = STALL + run.estimate / 10;
+            let bound = stall + run.estimate / 10;
             run.state == RunState::Running && now.since(run.moved) >= bound && run.percent < 100
         };
         let names = self.runs.iter().filter(|(_, r)| still(r));
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -13,18 +13,6 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// Single answers can be lost; a worker that gives none for this long counts as silent.
-const SILENT_AFTER: Duration = Duration::from_millis(200);
-/// A worker that has failed to answer once is asked again after this long: an answer that is reset
-/// comes back at once, and each try costs a connection.
-const ASK_SOON: Duration = Duration::from_millis(10);
-/// A worker that is silent is asked again after this long.
-const ASK_AGAIN: Duration = Duration::from_millis(40);
-/// A worker that is silent and keeps nothing of ours alive is asked again after this long.
-const ASK_SELDOM: Duration = Duration::from_millis(200);
-/// A worker that can't be reached at all for this long is gone.
-const GONE_AFTER: Duration = Duration::from_millis(150);
-
 impl Executor {
     /// The reply to a hold.
     pub fn held(&mut self, now: Mono, reply: HoldReply) {
@@ -54,7 +42,7 @@
             // It has begun a life meanwhile, which the reply may not be of.
             return;
         }
-        self.hold_at = now + ASK_AGAIN;
+        self.hold_at = now + self.setup.policy.orders.ask_again;
         match reply {
             HoldReply::Lists { running, .. } if running.is_empty() => self.found_vacant(now),
             HoldReply::Lists { running, .. } => {
@@ -63,7 +51,9 @@
                 }
             }
             HoldReply::Fenced => self.raise_fence(),
-            HoldReply::Unreachable if now.since(self.unclean_since) >= GONE_AFTER => {
+            HoldReply::Unreachable
+                if now.since(self.unclean_since) >= self.setup.policy.orders.gone_after =>
+            {
                 self.found_vacant(now);
             }
             HoldReply::Unreachable | HoldReply::WrongLife | HoldReply::NoAnswer => {}
@@ -76,17 +66,18 @@
     }
 
     fn worker_silent(&mut self, now: Mono, reply: &HoldReply) {
+        let orders = self.setup.policy.orders;
         let over = now >= self.kept_until;
         let Some(worker) = &mut self.worker else {
             return;
         };
         let since = *worker.silent_since.get_or_insert(now);
-        let long = now.since(since) >= SILENT_AFTER;
+        let long = now.since(since) >= orders.silent_after;
         let refused = *reply != HoldReply::NoAnswer;
         let wait = match (long || refused, over) {
-            (_, true) => ASK_SELDOM,
-            (true, false) => ASK_AGAIN,
-            (false, false) => ASK_SOON,
+            (_, true) => orders.ask_seldom,
+            (true, false) => orders.ask_again,
+            (false, false) => orders.ask_soon,
         };
         self.hold_at = now + wait;
         if worker.answers && (long || refused) {
@@ -94,7 +85,7 @@
             let detail = format!("{}: {reply:?}", worker.beat.life);
             self.log(Kind::WorkerSilent, detail);
         }
-        let gone = *reply != HoldReply::NoAnswer && now.since(since) >= GONE_AFTER;
+        let gone = *reply != HoldReply::NoAnswer && now.since(since) >= orders.gone_after;
         if gone || over {
             self.forget_runs(now);
             self.return_queue(now);
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -14,17 +14,9 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// A stop that got no answer is sent again after this long.
-const STOP_AGAIN: Duration = Duration::from_millis(40);
-/// A start must begin within this time on the worker's clock.
-const START_WITHIN: Duration = Duration::from_millis(500);
 /// How far a fencing token is raised when the worker has seen a higher one.
 const FENCE_STEP: u64 = 10_000;
 
-/// A task that can't start within this time of its arrival is handed back, so that it can go where
-/// there is room: schedulers decide on reports that others have acted on as well.
-const SOON: Duration = Duration::from_millis(10);
-
 /// How far a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunState {
@@ -124,7 +116,7 @@
     pub(super) fn has_room_soon(&self, now: Mono, demand: Demand) -> bool {
         let waiting = self.queue.iter().map(|w| w.demand);
         let wanted = waiting.fold(demand, Demand::plus);
-        let ends_soon = |run: &&Run| run.ends_within(now, SOON);
+        let ends_soon = |run: &&Run| run.ends_within(now, self.setup.policy.placement.room_wait);
         let freed = self.runs.values().filter(ends_soon).map(|r| r.demand);
         wanted.fits(freed.fold(self.used, less), self.capacity())
     }
@@ -159,7 +151,7 @@
     }
 
     fn send_start(&mut self, now: Mono, task: TaskName) {
-        let deadline_ms = self.deadline(now, START_WITHIN);
+        let deadline_ms = self.deadline(now, self.setup.policy.orders.start_within);
         let run = &self.runs[&task];
         let call = StartCall {
             life: self.life(),
@@ -214,11 +206,12 @@
             if reason == StartRefusal::Fence {
                 self.raise_fence();
             }
+            let within = self.setup.policy.orders.start_within;
             let run = self.runs.get_mut(&name.task).expect("it was looked up");
             if reason == StartRefusal::Old {
                 run.run += 1;
             }
-            if run.run < run.attempt + MAX_RENUMBER && now.since(run.began) < START_WITHIN {
+            if run.run < run.attempt + MAX_RENUMBER && now.since(run.began) < within {
                 return self.send_start(now, name.task);
             }
         }
@@ -296,6 +289,7 @@
 
     /// Sends stops again that got no answer.
     pub(super) fn resend_stops(&mut self, now: Mono) {
+        let wait = self.setup.policy.orders.stop_again;
         let mut again = Vec::new();
         for (task, run) in &mut self.runs {
             if let RunState::Stopping {
@@ -303,7 +297,7 @@
                 confirmed: None,
                 ..
             } = &mut run.state
-                && now.since(*at) >= STOP_AGAIN
+                && now.since(*at) >= wait
             {
                 *at = now;
                 let run = run.run;
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -5,9 +5,6 @@
 
 use super::Action;
 use super::Executor;
-use super::HEARTBEAT;
-use super::REPORT_GAP;
-use super::REPORT_GAP_EACH;
 use super::runs::Run;
 use super::runs::Waiting;
 use crate::dispatch::model::Demand;
@@ -275,10 +272,13 @@
 
     /// Sends updates to the schedulers that are due one.
     pub(super) fn report(&mut self, now: Mono) {
-        let least = REPORT_GAP.max(REPORT_GAP_EACH * self.sessions.len() as u32);
+        let reports = self.setup.policy.reports;
+        let least = reports
+            .gap
+            .max(reports.gap_each * self.sessions.len() as u32);
         let due = |s: &Session| {
             let gap = now.since(s.last_sent);
-            s.urgent || gap >= HEARTBEAT || (s.changed && gap >= least)
+            s.urgent || gap >= reports.heartbeat || (s.changed && gap >= least)
         };
         let linked = self.sessions.iter().filter(|(_, s)| s.link.is_some());
         let names = linked.filter(|(_, s)| due(s)).map(|(n, _)| n.clone());
--- /dev/null
+++ b/lib/src/dispatch/policy.rs
@@ -0,0 +1,483 @@
+//! The figures that decide: when a job begins, where its tasks go, what is waited for and what is
+//! given up. They stand here and nowhere else, each with its unit, its range and where it comes
+//! from; the `policy` section of the settings overrides them. `docs/POLICY.md` tells what each
+//! mechanism was measured to be worth, `docs/SETTINGS.md` lists the fields.
+//!
+//! A mechanism with a switch is on unless its switch is false, so that anybody can repeat the
+//! measurement of what it is worth.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde_json::Value;
+
+use crate::findings::Fields;
+use crate::findings::Findings;
+
+/// One field of a policy, for the reference page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Section and field.
+    pub name: String,
+    /// Its default.
+    pub default: String,
+    /// What it may be.
+    pub range: String,
+    /// What it does and where the default comes from.
+    pub meaning: String,
+}
+
+/// A kind of figure: how it is read from JSON and shown on the reference page.
+trait Figure: Copy {
+    /// What it may be.
+    type Range;
+    /// Reads the field, or takes its default. What is out of range is a finding.
+    fn read(
+        fields: &mut Fields<'_>,
+        name: &'static str,
+        default: Self,
+        range: Self::Range,
+        findings: &mut Findings,
+    ) -> Self;
+    /// The default and the range, in words.
+    fn words(self, range: Self::Range) -> (String, String);
+}
+
+impl Figure for Duration {
+    type Range = RangeInclusive<u64>;
+
+    fn read(
+        fields: &mut Fields<'_>,
+        name: &'static str,
+        default: Duration,
+        range: RangeInclusive<u64>,
+        findings: &mut Findings,
+    ) -> Duration {
+        let default = crate::clock::millis(default);
+        Duration::from_millis(fields.number(name, default, range, findings))
+    }
+
+    fn words(self, range: RangeInclusive<u64>) -> (String, String) {
+        let default = crate::clock::millis(self).to_string();
+        (default, format!("{} to {}", range.start(), range.end()))
+    }
+}
+
+impl Figure for u32 {
+    type Range = RangeInclusive<u64>;
+
+    fn read(
+        fields: &mut Fields<'_>,
+        name: &'static str,
+        default: u32,
+        range: RangeInclusive<u64>,
+        findings: &mut Findings,
+    ) -> u32 {
+        let number = fields.number(name, u64::from(default), range, findings);
+        u32::try_from(number).unwrap_or(u32::MAX)
+    }
+
+    fn words(self, range: RangeInclusive<u64>) -> (String, String) {
+        let default = self.to_string();
+        (default, format!("{} to {}", range.start(), range.end()))
+    }
+}
+
+impl Figure for f64 {
+    type Range = RangeInclusive<f64>;
+
+    fn read(
+        fields: &mut Fields<'_>,
+        name: &'static str,
+        default: f64,
+        range: RangeInclusive<f64>,
+        findings: &mut Findings,
+    ) -> f64 {
+        fields.ratio(name, default, range, findings)
+    }
+
+    fn words(self, range: RangeInclusive<f64>) -> (String, String) {
+        let default = self.to_string();
+        (default, format!("{} to {}", range.start(), range.end()))
+    }
+}
+
+impl Figure for bool {
+    type Range = ();
+
+    fn read(
+        fields: &mut Fields<'_>,
+        name: &'static str,
+        default: bool,
+        (): (),
+        findings: &mut Findings,
+    ) -> bool {
+        fields.switch(name, default, findings)
+    }
+
+    fn words(self, (): ()) -> (String, String) {
+        (self.to_string(), "`true`, `false`".to_owned())
+    }
+}
+
+/// Declares a section: a struct whose fields each have a kind, a default and a range. The field's
+/// name in JSON is its name here; times in milliseconds end in `_ms`.
+macro_rules! section {
+    (
+        $(#[doc = $about:literal])*
+        $section:ident ($key:literal) {
+            $( $(#[doc = $doc:literal])* $field:ident: $kind:ident = $default:expr, $range:expr; )*
+        }
+    ) => {
+        $(#[doc = $about])*
+        #[derive(Clone, Copy, Debug, PartialEq)]
+        pub struct $section {
+            $( $(#[doc = $doc])* pub $field: section!(@type $kind), )*
+        }
+
+        impl Default for $section {
+            fn default() -> $section {
+                $section { $( $field: section!(@value $kind $default), )* }
+            }
+        }
+
+        impl $section {
+            fn read(value: &Value, findings: &mut Findings) -> $section {
+                let default = $section::default();
+                let Some(mut fields) = Fields::new(value, concat!("/", $key), findings) else {
+                    return default;
+                };
+                let section = $section {
+                    $(
+                        $field: Figure::read(
+                            &mut fields,
+                            section!(@key $kind $field),
+                            default.$field,
+                            $range,
+                            findings,
+                        ),
+                    )*
+                };
+                fields.finish(findings);
+                section
+            }
+
+            fn rows() -> Vec<Row> {
+                let section = $section::default();
+                let mut rows = Vec::new();
+                $(
+                    let (default, range) = section.$field.words($range);
+                    rows.push(Row {
+                        name: concat!($key, ".", section!(@key $kind $field)).to_owned(),
+                        default,
+                        range,
+                        meaning: concat!($($doc),*).trim().to_owned(),
+                    });
+                )*
+                rows
+            }
+        }
+    };
+    (@type ms) => { Duration };
+    (@type ratio) => { f64 };
+    (@type count) => { u32 };
+    (@type switch) => { bool };
+    (@value ms $default:expr) => { Duration::from_millis($default) };
+    (@value $kind:ident $default:expr) => { $default };
+    (@key ms $field:ident) => { concat!(stringify!($field), "_ms") };
+    (@key $kind:ident $field:ident) => { stringify!($field) };
+}
+
+section! {
+    /// When a job begins, and when it is refused or given up.
+    Admission ("admission") {
+        /// The share of a job's spare time that may pass before it begins. Measured: at 1 jobs that begin late keep others from being in time.
+        sure_share: ratio = 0.6, 0.0..=1.0;
+        /// How long the slowest ordinary worker takes against the mean one; what is left of `extension` above it is spare time.
+        slow_allowance: ratio = 1.25, 1.0..=10.0;
+        /// A job is worth something up to this many times its objective. From the users' pages.
+        late_factor: ratio = 3.0, 1.0..=10.0;
+        /// What of the objective passes on the way from the caller and back to it. Twice the longest way seen.
+        travel: ms = 12, 0..=10_000;
+        /// A fresh job begins once this share of its tasks finds room; the rest goes before all others.
+        begin_share: ratio = 0.6, 0.0..=1.0;
+        /// A job that takes more than this share of all workers is placed piece by piece.
+        wide_share: ratio = 0.15, 0.0..=1.0;
+        /// A late job of which no more than this share waits is finished before others begin: it is worth a fifth of what it was.
+        finish_share: ratio = 0.25, 0.0..=1.0;
+        /// A late job of which more waits is given up after this long.
+        late_wait: ms = 60, 0..=60_000;
+        /// Jobs looked at in one round of placing, so that a long queue costs little.
+        round_jobs: count = 24, 1..=10_000;
+        /// Callers that are refused come back after this long at the earliest.
+        retry_base: ms = 400, 0..=60_000;
+        /// They are spread over this long.
+        retry_spread: ms = 800, 1..=60_000;
+        /// The weight of the newest reading in what is learned of the times of a queue's tasks.
+        learn_weight: ratio = 0.05, 0.0..=1.0;
+    }
+}
+
+section! {
+    /// Which worker a task goes to. Scores are in thousandths of a free core.
+    Placement ("placement") {
+        /// What a worker in the own zone is ahead of others.
+        own_zone: ratio = 800.0, 0.0..=1_000_000.0;
+        /// What a worker near the task's data is ahead of others.
+        near_data: ratio = 6000.0, 0.0..=1_000_000.0;
+        /// What a worker on trial is behind others.
+        trial_penalty: ratio = 2000.0, 0.0..=1_000_000.0;
+        /// The choice among workers is spread by this, so that schedulers with the same reports choose differently.
+        jitter: ratio = 900.0, 0.0..=1_000_000.0;
+        /// A job's tasks go to at least so many workers, if there is room.
+        split: count = 4, 1..=10_000;
+        /// Reports older than this do not count. Three and a half heartbeats.
+        report_age: ms = 350, 1..=60_000;
+        /// A start may be this late at least, so that the way to the executor does not use it up.
+        least_slack: ms = 25, 0..=60_000;
+        /// A task that can't start within this time of its arrival at the executor is handed back, to go where there is room.
+        room_wait: ms = 10, 0..=60_000;
+    }
+}
+
+section! {
+    /// How slow, failing and hanging workers are told, and when they are tried again.
+    Health ("health") {
+        /// A worker that takes this many times as long as the others gets tasks on trial only.
+        slow_ratio: ratio = 1.9, 1.0..=100.0;
+        /// Such a worker gets a task on trial of each scheduler this often.
+        slow_trial: ms = 500, 1..=60_000;
+        /// The weight of the newest reading in a worker's mean pace.
+        pace_weight: ratio = 0.15, 0.0..=1.0;
+        /// The same where the newest reading is less than half of the mean: a worker that was slow has few tasks to show that it is well again.
+        recovery_weight: ratio = 0.45, 0.0..=1.0;
+        /// Progress below this says too little about the pace, in percent.
+        least_progress: count = 10, 1..=99;
+        /// So many failures of different jobs in a row make a worker suspect.
+        failures: count = 3, 1..=1000;
+        /// The shortest wait between tasks on trial at a suspect worker. It doubles with each trial that goes wrong.
+        trial_first: ms = 400, 1..=60_000;
+        /// The longest wait between them.
+        trial_last: ms = 3200, 1..=600_000;
+        /// A task without progress for this long, and a tenth of its estimate, hangs.
+        stall: ms = 170, 1..=60_000;
+    }
+}
+
+section! {
+    /// What executors ask of their workers, and how often.
+    Orders ("orders") {
+        /// A hold waits this long at the worker. When its answer is lost, ends go unread for about twice as long.
+        hold_wait: ms = 25, 0..=2000;
+        /// A start must begin within this time on the worker's clock.
+        start_within: ms = 500, 1..=60_000;
+        /// A stop that got no answer is sent again after this long.
+        stop_again: ms = 40, 1..=60_000;
+        /// Single answers can be lost; a worker that gives none for this long counts as silent.
+        silent_after: ms = 200, 1..=60_000;
+        /// A worker that can't be reached at all for this long is gone.
+        gone_after: ms = 150, 1..=60_000;
+        /// A worker that has failed to answer once is asked again after this long.
+        ask_soon: ms = 10, 1..=60_000;
+        /// A worker that is silent is asked again after this long.
+        ask_again: ms = 40, 1..=60_000;
+        /// A worker that is silent and keeps nothing of ours alive is asked again after this long.
+        ask_seldom: ms = 200, 1..=60_000;
+    }
+}
+
+section! {
+    /// What processes tell each other, and how often.
+    Reports ("reports") {
+        /// Updates of an executor to one scheduler are at least this far apart, unless they tell of ends.
+        gap: ms = 15, 1..=10_000;
+        /// The same for each scheduler that is linked, so that reports do not grow with their number.
+        gap_each: ms = 3, 0..=1000;
+        /// Heartbeats on links are this far apart.
+        heartbeat: ms = 100, 10..=10_000;
+        /// Claims that go to all executors are gathered for so long.
+        claim_gap: ms = 10, 0..=1000;
+        /// Announcements of jobs to peers are gathered for so long.
+        news_gap: ms = 15, 0..=1000;
+        /// Members are told to every link this often.
+        members: ms = 1000, 10..=600_000;
+    }
+}
+
+section! {
+    /// When a job may be at work elsewhere, and who may decide about it. What they rest on is told in `docs/design/platform.md`.
+    Claims ("claims") {
+        /// A scheduler places nothing that it has to claim before this time after its start or a long pause.
+        meeting: ms = 100, 0..=60_000;
+        /// A peer that has not been heard for so long may have jobs that were not announced here.
+        unheard: ms = 600, 1..=60_000;
+        /// A job may be handed in again elsewhere after so long at the earliest. Below the users' 1,300 ms.
+        again_after: ms = 1200, 1..=60_000;
+        /// A scheduler that has started or come back within this time may have had jobs in its life before.
+        warm_up: ms = 1300, 1..=60_000;
+        /// Claims of two schedulers within this time are at odds; a later one replaces the earlier.
+        contest: ms = 2000, 1..=60_000;
+        /// Claims and the outcomes of jobs are remembered for this long.
+        memory: ms = 20_000, 1..=3_600_000;
+        /// A process that has not run for this long was paused.
+        pause: ms = 250, 1..=60_000;
+        /// A process that has been gone for this long is forgotten.
+        forgotten: ms = 30_000, 1..=3_600_000;
+    }
+}
+
+section! {
+    /// How long rights last. A task is placed again elsewhere once `lapse` has passed, so what runs for a scheduler must end by itself before that.
+    Leases ("leases") {
+        /// A scheduler's lease at an executor, from the reading that it echoes.
+        lease: ms = 700, 10..=60_000;
+        /// The worker keeps runs alive for so long after a renewal. Its clock may be 2 % slow.
+        worker_hold: ms = 550, 10..=60_000;
+        /// A link on which nothing arrives for so long is closed.
+        silence: ms = 700, 10..=60_000;
+        /// So long after an executor was last heard of, nothing runs there any more for this scheduler.
+        lapse: ms = 1300, 10..=60_000;
+    }
+}
+
+section! {
+    /// How an entry leaves.
+    Leaving ("leaving") {
+        /// It goes on taking jobs for so long at least, while the balancer takes note.
+        still_open: ms = 2200, 0..=600_000;
+        /// After that it ends once no job has come for so long.
+        quiet: ms = 500, 0..=600_000;
+        /// What it keeps of the time it has to end: for giving up what is left, and as a reserve.
+        reserve: ms = 400, 0..=600_000;
+        /// How long its last answers take to be sent.
+        last_answers: ms = 120, 0..=600_000;
+        /// A job that is taken while leaving may take this many times as long as expected. One that takes longer is given up with an answer.
+        room_to_end: ratio = 1.35, 1.0..=10.0;
+    }
+}
+
+section! {
+    /// How processes connect to each other.
+    Links ("links") {
+        /// The shortest wait between tries to reach a process. It doubles with each that fails.
+        redial_first: ms = 50, 1..=60_000;
+        /// The longest wait between them.
+        redial_last: ms = 300, 1..=60_000;
+        /// How long connecting and the exchange of greetings may take.
+        greeting: ms = 400, 1..=60_000;
+        /// Of two schedulers that know each other, one has so long to connect first.
+        yield_for: ms = 60, 0..=60_000;
+    }
+}
+
+/// Declares the policy out of its sections.
+macro_rules! policy {
+    ($( $(#[doc = $doc:literal])* $field:ident: $section:ident ),* $(,)?) => {
+        /// All figures that decide.
+        #[derive(Clone, Copy, Debug, Default, PartialEq)]
+        pub struct Policy {
+            $( $(#[doc = $doc])* pub $field: $section, )*
+        }
+
+        impl Policy {
+            /// Reads the `policy` section of a settings file. What is wrong is a finding, and
+            /// stays at its default.
+            pub fn read(value: &Value, findings: &mut Findings) -> Policy {
+                let mut policy = Policy::default();
+                let Some(mut fields) = Fields::new(value, "", findings) else {
+                    return policy;
+                };
+                $(
+                    if let Some(section) = fields.value(stringify!($field)) {
+                        policy.$field = $section::read(section, findings);
+                    }
+                )*
+                fields.finish(findings);
+                policy.check(findings);
+                policy
+            }
+
+            /// All fields, for the reference page.
+            pub fn rows() -> Vec<Row> {
+                let mut rows = Vec::new();
+                $( rows.extend($section::rows()); )*
+                rows
+            }
+        }
+    };
+}
+
+policy! {
+    /// When a job begins, and when it is refused or given up.
+    admission: Admission,
+    /// Which worker a task goes to.
+    placement: Placement,
+    /// How slow, failing and hanging workers are told.
+    health: Health,
+    /// What executors ask of their workers.
+    orders: Orders,
+    /// What processes tell each other.
+    reports: Reports,
+    /// Who may decide about a job.
+    claims: Claims,
+    /// How long rights last.
+    leases: Leases,
+    /// How an entry leaves.
+    leaving: Leaving,
+    /// How processes connect.
+    links: Links,
+}
+
+/// A worker's clock may be this much slow.
+const SLOW_CLOCK: f64 = 1.02;
+
+impl Policy {
+    /// What must hold between fields.
+    fn check(&self, findings: &mut Findings) {
+        let l = &self.leases;
+        if l.lease + l.worker_hold.mul_f64(SLOW_CLOCK) >= l.lapse {
+            let message = "must be longer than `lease_ms` and 1.02 times `worker_hold_ms` together: \
+                           else a task may be placed again while it still runs";
+            findings.add("/leases/lapse_ms", message);
+        }
+        if self.claims.again_after > self.claims.warm_up {
+            let message =
+                "must not be longer than `warm_up_ms`: a job of a life before may come again";
+            findings.add("/claims/again_after_ms", message);
+        }
+        if self.health.trial_first > self.health.trial_last {
+            findings.add(
+                "/health/trial_first_ms",
+                "must not be above `trial_last_ms`",
+            );
+        }
+        if self.links.redial_first > self.links.redial_last {
+            findings.add(
+                "/links/redial_first_ms",
+                "must not be above `redial_last_ms`",
+            );
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Policy {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Policy, D::Error> {
+        let value = Value::deserialize(deserializer)?;
+        let mut findings = Findings::new("policy");
+        let policy = Policy::read(&value, &mut findings);
+        let list = findings.into_list();
+        if list.is_empty() {
+            return Ok(policy);
+        }
+        let lines: Vec<String> = list
+            .iter()
+            .map(|f| format!("{}: {}", f.pointer, f.message))
+            .collect();
+        Err(serde::de::Error::custom(lines.join("; ")))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::catalog::CatalogIndex;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
+use crate::dispatch::policy::Policy;
 use crate::dispatch::scheduler::announcements::Announcements;
 use crate::dispatch::scheduler::fleet::ExecutorKey;
 use crate::dispatch::scheduler::fleet::ExecutorView;
@@ -58,6 +59,8 @@
     pub started: Mono,
     /// Seeds the choice among workers that are alike.
     pub seed: u64,
+    /// The figures that decide.
+    pub policy: Policy,
 }
 
 /// A caller that waits for the end of a job, numbered by the daemon.
@@ -109,18 +112,6 @@
     pub peers: Duration,
 }
 
-/// How long the outcomes of jobs are remembered for callers who ask again.
-const MEMORY: Duration = Duration::from_secs(20);
-/// Heartbeats on links are this far apart.
-const HEARTBEAT: Duration = Duration::from_millis(100);
-/// A job that a leaving scheduler takes may take this many times as long as expected. One that
-/// takes longer is given up with an answer.
-const ROOM_TO_END: f64 = 1.35;
-/// A process that has not run for this long was paused.
-const PAUSE: Duration = Duration::from_millis(250);
-/// Members are told to every link this often.
-const MEMBERS: Duration = Duration::from_millis(1000);
-
 #[derive(Clone, Copy, Debug)]
 struct Ended {
     at: Mono,
@@ -209,7 +200,7 @@
         let begun = self.now != Mono::default();
         let pause = now.since(self.now);
         self.now = now;
-        if pause >= PAUSE {
+        if pause >= self.setup.policy.claims.pause {
             self.awake_since = now;
         }
         if pause >= self.setup.silence && begun {
@@ -323,7 +314,8 @@
     /// Whether a job can't be expected to end before this process does.
     fn ends_too_late(&self, job: &Job) -> bool {
         let whole = job.chain.iter().copied().max().unwrap_or_default();
-        let needed = whole.mul_f64(ROOM_TO_END) + HEARTBEAT;
+        let needed = whole.mul_f64(self.setup.policy.leaving.room_to_end)
+            + self.setup.policy.reports.heartbeat;
         self.leaving.is_some_and(|at| self.now + needed > at)
     }
 
@@ -360,8 +352,9 @@
 
     fn forget(&mut self) {
         let now = self.now;
-        self.ended.retain(|_, e| now.since(e.at) < MEMORY);
-        self.announced.forget_before(now - MEMORY);
+        let memory = self.setup.policy.claims.memory;
+        self.ended.retain(|_, e| now.since(e.at) < memory);
+        self.announced.forget_before(now - memory);
     }
 
     /// Names the executors that there are. A scheduler that has just started begins to place jobs
@@ -425,7 +418,7 @@
     /// Sends what has been gathered for executors and peers.
     fn flush(&mut self) {
         let now = self.now;
-        let due = now.since(self.members_told) >= MEMBERS;
+        let due = now.since(self.members_told) >= self.setup.policy.reports.members;
         let members = if due { self.member_list() } else { Vec::new() };
         if due {
             self.members_told = now;
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -11,16 +11,6 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// A scheduler places nothing that it has to claim before this time after its start or a long pause:
-/// what the executors tell of other schedulers has to arrive first.
-const MEETING: Duration = Duration::from_millis(100);
-/// A peer that has not been heard for so long may have jobs that were not announced here.
-const UNHEARD: Duration = Duration::from_millis(600);
-/// A job may be handed in again elsewhere after so long at the earliest.
-const AGAIN_AFTER: Duration = Duration::from_millis(1200);
-/// A scheduler that has started or come back within this time may have had jobs in its life before.
-const YOUNG: Duration = Duration::from_millis(1300);
-
 /// How far a claim is.
 enum ClaimState {
     /// Executors have yet to confirm it.
@@ -55,7 +45,8 @@
         if self.is_young() {
             return true;
         }
-        let unheard = |name: &String| now.since(self.last_heard(name)) >= UNHEARD;
+        let bound = self.setup.policy.claims.unheard;
+        let unheard = |name: &String| now.since(self.last_heard(name)) >= bound;
         self.doubtful.iter().any(unheard) || self.is_minority()
     }
 
@@ -63,7 +54,8 @@
     /// here whether those peers are at work.
     fn is_minority(&self) -> bool {
         let now = self.now;
-        let away = |p: &Peer| p.link.is_none() && now.since(p.heard) >= UNHEARD;
+        let bound = self.setup.policy.claims.unheard;
+        let away = |p: &Peer| p.link.is_none() && now.since(p.heard) >= bound;
         let linked = self.executors.values().filter(|e| e.link.is_some());
         self.peers.values().any(away) && linked.count() * 2 < self.executors.len()
     }
@@ -79,13 +71,15 @@
     /// claimed before anything more of it is placed.
     pub(super) fn is_exposed(&self, job: &Job) -> bool {
         let now = self.now;
-        now.since(job.safe_since) >= AGAIN_AFTER && self.gap > job.safe_since
+        now.since(job.safe_since) >= self.setup.policy.claims.again_after
+            && self.gap > job.safe_since
     }
 
     /// Notes whether some peer is not heard at present.
     pub(super) fn note_gap(&mut self) {
         let now = self.now;
-        let unheard = |p: &Peer| now.since(p.heard) >= UNHEARD;
+        let bound = self.setup.policy.claims.unheard;
+        let unheard = |p: &Peer| now.since(p.heard) >= bound;
         if self.peers.values().any(unheard) {
             self.gap = now;
         }
@@ -98,7 +92,7 @@
         let (now, lapse) = (self.now, self.setup.lapse);
         let settled = |p: &Peer| p.link.is_some() || self.silence(p.heard) >= lapse;
         let heard = |name: &String| self.silence(self.last_heard(name)) >= lapse;
-        now.since(self.present_since) >= MEETING
+        now.since(self.present_since) >= self.setup.policy.claims.meeting
             && self.peers.values().all(settled)
             && self.doubtful.iter().all(heard)
     }
@@ -106,7 +100,7 @@
     /// Whether this scheduler has only just started, or come back from a long pause: jobs of a life
     /// before may still be at work, and it may not have met everybody yet.
     fn is_young(&self) -> bool {
-        self.now.since(self.present_since) < YOUNG
+        self.now.since(self.present_since) < self.setup.policy.claims.warm_up
     }
 
     /// Whether every executor is linked that there is. One that was lost when this scheduler
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -11,9 +11,6 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
-/// The weight of the newest reading in what is learned of a queue.
-const LEARN: f64 = 0.05;
-
 impl Scheduler {
     /// An executor tells of the end of a task.
     pub(super) fn task_ended(&mut self, key: ExecutorKey, end: &proto::TaskEnd) {
@@ -49,9 +46,10 @@
             return;
         }
         let ratio = ran.as_secs_f64() * 1000.0 / f64::from(step.estimate_ms);
+        let weight = self.setup.policy.admission.learn_weight;
         let queue = job.request.queue.clone();
         let learned = self.learned.entry(queue).or_insert(1.0);
-        *learned += LEARN * (ratio.min(4.0) - *learned);
+        *learned += weight * (ratio.min(4.0) - *learned);
     }
 
     /// A task is not at an executor any more.
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -6,13 +6,13 @@
 use slotmap::new_key_type;
 
 use super::Action;
-use super::HEARTBEAT;
 use super::Scheduler;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::policy::Policy;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -22,13 +22,6 @@
     pub struct ExecutorKey;
 }
 
-/// Reports older than this do not count when tasks are placed.
-const FRESH: Duration = Duration::from_millis(350);
-/// Claims that go to all executors are gathered for so long.
-const CLAIM_GAP: Duration = Duration::from_millis(10);
-/// An executor that has been gone for this long is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(30);
-
 /// An executor.
 #[derive(Clone, Debug)]
 pub(super) struct ExecutorView {
@@ -57,11 +50,13 @@
     /// While an executor that was started anew has not met its worker: when what its forerunner
     /// had started can not run any more at the latest.
     renewed: Option<Mono>,
+    policy: Policy,
 }
 
 impl ExecutorView {
-    fn new(now: Mono, greeting: &proto::Greeting) -> ExecutorView {
+    fn new(now: Mono, greeting: &proto::Greeting, policy: Policy) -> ExecutorView {
         ExecutorView {
+            policy,
             name: greeting.name.clone(),
             zone: greeting.zone.clone(),
             incarnation: greeting.incarnation,
@@ -87,7 +82,7 @@
     pub fn takes(&self, now: Mono, service: &str) -> bool {
         self.link.is_some()
             && self.report.ready
-            && now.since(self.heard) < FRESH
+            && now.since(self.heard) < self.policy.placement.report_age
             && self.profile.service == service
     }
 
@@ -112,7 +107,9 @@
         let urgent = !(orders.starts.is_empty() && orders.stops.is_empty());
         let claims = !(orders.claims.is_empty() && orders.renewals.is_empty());
         let gap = now.since(self.last_orders);
-        let due = urgent || (claims && gap >= CLAIM_GAP) || gap >= HEARTBEAT;
+        let due = urgent
+            || (claims && gap >= self.policy.reports.claim_gap)
+            || gap >= self.policy.reports.heartbeat;
         if !due && members.is_empty() {
             return None;
         }
@@ -153,7 +150,9 @@
         let found = found.into_iter().find(|(_, e)| e.name == greeting.name);
         let key = match found.map(|(key, _)| key) {
             Some(key) => key,
-            None => self.executors.insert(ExecutorView::new(now, greeting)),
+            None => self
+                .executors
+                .insert(ExecutorView::new(now, greeting, self.setup.policy)),
         };
         let executor = &mut self.executors[key];
         let renewed = executor.incarnation != greeting.incarnation;
@@ -201,7 +200,7 @@
                 name: name.clone(),
                 ..proto::Greeting::default()
             };
-            let mut executor = ExecutorView::new(self.now, &greeting);
+            let mut executor = ExecutorView::new(self.now, &greeting, self.setup.policy);
             executor.heard = self.now - self.setup.lapse;
             self.executors.insert(executor);
         }
@@ -303,7 +302,7 @@
             if silent >= self.setup.lapse {
                 self.lose_tasks(key);
             }
-            if silent >= FORGOTTEN && !self.is_in_roster(key) {
+            if silent >= self.setup.policy.claims.forgotten && !self.is_in_roster(key) {
                 self.executors.remove(key);
             }
         }
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -8,17 +8,9 @@
 use crate::dispatch::model::JobRequest;
 use crate::dispatch::model::Step;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::policy::Admission;
 use crate::prelude::*;
 
-/// A job is worth a little up to this many times its objective.
-pub(super) const LATE_FACTOR: f64 = 3.0;
-/// How long a slow worker takes against the ordinary one.
-const SLOW_WORKER: f64 = 1.25;
-/// The share of a job's spare time that may pass before it begins.
-const SURE_SHARE: f64 = 0.6;
-/// What of the objective has passed before a job arrives here, and passes with its answer.
-const TRAVEL: Duration = Duration::from_millis(12);
-
 /// Where a task is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -97,7 +89,13 @@
 impl Job {
     /// A job that has just arrived. `learned` is how long tasks of its queue take against their
     /// estimates.
-    pub fn new(now: Mono, request: JobRequest, queue: &Queue, learned: f64) -> Job {
+    pub fn new(
+        now: Mono,
+        request: JobRequest,
+        queue: &Queue,
+        learned: f64,
+        policy: &Admission,
+    ) -> Job {
         let estimate = |s: &Step| {
             Duration::from_millis(u64::from(s.estimate_ms.max(1))).mul_f64(learned.max(0.01))
         };
@@ -106,10 +104,10 @@
         let whole = chain.iter().copied().max().unwrap_or_default();
         let objective = whole.mul_f64(queue.extension.max(1.0))
             + Duration::from_millis(u64::from(queue.objective_ms));
-        let spare = (queue.extension - SLOW_WORKER).max(0.0) * SURE_SHARE;
+        let spare = (queue.extension - policy.slow_allowance).max(0.0) * policy.sure_share;
         let sure = Duration::from_millis(u64::from(queue.objective_ms)) + whole.mul_f64(spare);
         let patience = Duration::from_millis(request.patience_ms);
-        let mut useless_at = now + objective.mul_f64(LATE_FACTOR);
+        let mut useless_at = now + objective.mul_f64(policy.late_factor);
         if !patience.is_zero() {
             useless_at = useless_at.min(now + patience);
         }
@@ -130,8 +128,8 @@
             renewed: false,
             claimed_young: false,
             safe_since: now,
-            objective_at: now + objective.saturating_sub(TRAVEL),
-            sure_start: now + sure.saturating_sub(TRAVEL),
+            objective_at: now + objective.saturating_sub(policy.travel),
+            sure_start: now + sure.saturating_sub(policy.travel),
             useless_at,
             place: None,
             expected,
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -2,7 +2,6 @@
 
 use super::Action;
 use super::CallerId;
-use super::HEARTBEAT;
 use super::Scheduler;
 use crate::dispatch::catalog::Catalog;
 use crate::dispatch::model::JobNumber;
@@ -12,12 +11,6 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
-/// News of jobs wait for each other at most this long.
-const NEWS_GAP: Duration = Duration::from_millis(15);
-
-/// A peer that has not been heard for so long is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(30);
-
 /// Another scheduler.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peer {
@@ -347,11 +340,12 @@
     pub(super) fn watch_peers(&mut self) {
         let now = self.now;
         let bound = self.setup.silence;
+        let forgotten = self.setup.policy.claims.forgotten;
         let silent = |p: &Peer| p.link.is_some() && self.silence(p.heard) >= bound;
         let names = self.peers.iter().filter(|(_, p)| silent(p));
         let names: Vec<String> = names.map(|(n, _)| n.clone()).collect();
         self.peers
-            .retain(|_, p| p.link.is_some() || now.since(p.heard) < FORGOTTEN);
+            .retain(|_, p| p.link.is_some() || now.since(p.heard) < forgotten);
         for name in names {
             if let Some(peer) = self.peers.get_mut(&name) {
                 let closing = peer.spare.drain(..).chain(peer.link.take());
@@ -373,6 +367,7 @@
     /// Sends the peers their news and heartbeats.
     pub(super) fn flush_peers(&mut self, members: &[proto::Member]) {
         let now = self.now;
+        let reports = self.setup.policy.reports;
         let version = self.version();
         let leaving = self.leaving.is_some();
         for peer in self.peers.values_mut() {
@@ -386,8 +381,8 @@
                 && out.catalog.is_empty()
                 && out.executors.is_empty());
             let gap = now.since(peer.last_sent);
-            let news = !out.jobs.is_empty() && gap >= NEWS_GAP;
-            if !urgent && !news && members.is_empty() && gap < HEARTBEAT {
+            let news = !out.jobs.is_empty() && gap >= reports.news_gap;
+            if !urgent && !news && members.is_empty() && gap < reports.heartbeat {
                 continue;
             }
             let mut update = std::mem::take(&mut peer.out);
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -14,7 +14,6 @@
 use crate::dispatch::model::TaskName;
 use crate::dispatch::timings::Stage;
 use crate::event::Kind;
-use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
 /// Jobs that have begun and can still meet their objective. They go first: what they have used is
@@ -26,26 +25,6 @@
 const FRESH: u8 = 2;
 /// Jobs that have begun and will be late.
 const LATE: u8 = 3;
-/// A job that takes more than this share of all workers is placed piece by piece.
-const WIDE: f64 = 0.15;
-/// A late job of which no more than this share waits is finished before others begin: it is worth
-/// a fifth of what it was.
-const WORTH_FINISHING: f64 = 0.25;
-/// A late job of which more waits is given up after this long.
-const LATE_WAIT: Duration = Duration::from_millis(60);
-/// Jobs looked at in one round of placing, so that a long queue costs little.
-const LOOK: usize = 24;
-/// A worker that takes this many times as long as the others gets tasks on trial only.
-const SLOW: f64 = 1.9;
-/// Such a worker, or one that is suspect, gets a task on trial this often.
-const TRIAL: Duration = Duration::from_millis(500);
-/// Thousandths of a core that a worker in the own zone is ahead of others.
-const OWN_ZONE: f64 = 800.0;
-/// Thousandths of a core by which the choice among workers is spread.
-const JITTER: f64 = 900.0;
-
-/// A fresh job begins once this share of its tasks finds room; the rest goes before all others.
-const ENOUGH: f64 = 0.6;
 
 /// A task and where it goes.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +39,7 @@
     /// Puts a job where it belongs among those that wait, if it has tasks to place.
     pub(super) fn queue_job(&mut self, number: JobNumber) {
         let now = self.now;
+        let finish_share = self.setup.policy.admission.finish_share;
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
@@ -70,7 +50,7 @@
         let place = latest.map(|at| {
             let class = match (job.began, at >= now) {
                 (true, true) => BEGUN,
-                (true, false) if job.waiting_share() <= WORTH_FINISHING => BEGUN,
+                (true, false) if job.waiting_share() <= finish_share => BEGUN,
                 (true, false) => LATE,
                 (false, _) if job.priority == 0 => URGENT,
                 (false, _) => FRESH,
@@ -94,8 +74,9 @@
         if self.waiting.is_empty() {
             return;
         }
+        let most = self.setup.policy.admission.round_jobs as usize;
         let numbers: Vec<(u8, JobNumber)> =
-            self.waiting.iter().take(LOOK).map(|w| (w.0, w.2)).collect();
+            self.waiting.iter().take(most).map(|w| (w.0, w.2)).collect();
         let median = self.median_pace();
         self.note_gap();
         for (class, number) in numbers {
@@ -120,7 +101,8 @@
         };
         let plan = self.plan(&job, median);
         let ready = job.tasks.iter().filter(|t| t.state == TaskState::Ready);
-        let enough = plan.len() as f64 >= ready.count() as f64 * ENOUGH;
+        let enough =
+            plan.len() as f64 >= ready.count() as f64 * self.setup.policy.admission.begin_share;
         if (enough && !plan.is_empty()) || job.began || self.is_wide(&job) {
             self.carry_out(&mut job, &plan);
         }
@@ -136,7 +118,7 @@
         }
         let linked = self.executors.values().filter(|e| e.link.is_some());
         let all: u64 = linked.map(|e| u64::from(e.capacity.cpu_milli)).sum();
-        needed as f64 > WIDE * all as f64
+        needed as f64 > self.setup.policy.admission.wide_share * all as f64
     }
 
     /// Where each of the ready tasks would go, as far as there is room.
@@ -166,7 +148,9 @@
         let todo: Vec<usize> = (0..job.tasks.len())
             .filter(|i| ready(&job.tasks[*i]))
             .collect();
-        let share = todo.len().div_ceil(4);
+        let share = todo
+            .len()
+            .div_ceil(self.setup.policy.placement.split as usize);
         let demand = job.request.steps[step as usize].demand;
         let mut next = 0;
         while next < todo.len() {
@@ -249,7 +233,9 @@
         job.began = true;
         let s = &job.request.steps[step as usize];
         let latest = job.objective_at - job.chain[step as usize];
-        let slack = now.until(latest).max(MIN_SLACK);
+        let slack = now
+            .until(latest)
+            .max(self.setup.policy.placement.least_slack);
         let message = proto::StartTasks {
             job: job.request.number.0,
             occurrence: 0,
@@ -287,6 +273,7 @@
     ) -> Option<(ExecutorKey, bool)> {
         let s = &job.request.steps[step as usize];
         let now = self.now;
+        let policy = self.setup.policy;
         let mut best: Option<(f64, ExecutorKey, bool)> = None;
         for (key, room) in free {
             let executor = &self.executors[key];
@@ -298,21 +285,22 @@
             if s.spread > 0 && here >= s.spread as usize {
                 continue;
             }
-            let slow = median > 0.0 && f64::from(executor.report.pace_percent) > SLOW * median;
+            let slow = median > 0.0
+                && f64::from(executor.report.pace_percent) > policy.health.slow_ratio * median;
             let trial = slow || executor.report.suspect;
-            if trial && now.since(executor.last_trial) < TRIAL {
+            if trial && now.since(executor.last_trial) < policy.health.slow_trial {
                 continue;
             }
             let mut score = room.cpu_milli as f64;
-            score += self.rng.random_range(0.0..JITTER);
+            score += self.rng.random_range(0.0..policy.placement.jitter.max(1.0));
             if executor.zone == self.setup.zone {
-                score += OWN_ZONE;
+                score += policy.placement.own_zone;
             }
             if !s.rack.is_empty() && executor.profile.labels.contains(&s.rack) {
-                score += RACK;
+                score += policy.placement.near_data;
             }
             if trial {
-                score -= ON_TRIAL;
+                score -= policy.placement.trial_penalty;
             }
             if best.is_none_or(|(b, _, _)| score > b) {
                 best = Some((score, key, trial));
@@ -353,12 +341,13 @@
     /// Gives up late jobs that wait for room and have much left to do: what is left of them keeps
     /// others from being in time.
     fn drop_late(&mut self) {
-        let bound = self.now - LATE_WAIT;
+        let bound = self.now - self.setup.policy.admission.late_wait;
         let late = self.waiting.iter();
         let late = late.filter(|(class, at, _)| *class == LATE && *at <= bound);
         let late: Vec<JobNumber> = late.map(|w| w.2).collect();
         for number in late {
-            let much = |j: &Job| j.waiting_share() > WORTH_FINISHING;
+            let share = self.setup.policy.admission.finish_share;
+            let much = |j: &Job| j.waiting_share() > share;
             if self.jobs.get(&number).is_some_and(much) {
                 self.give_up(number, "late-and-waiting");
             }
@@ -378,13 +367,6 @@
     }
 }
 
-/// A start may be this late at least, so that the way to the executor does not use it up.
-const MIN_SLACK: Duration = Duration::from_millis(25);
-/// Thousandths of a core that a worker near the data is ahead of others.
-const RACK: f64 = 6000.0;
-/// Thousandths of a core that a worker on trial is behind others.
-const ON_TRIAL: f64 = 2000.0;
-
 /// Whether a worker has what a step requires.
 fn suits(executor: &super::fleet::ExecutorView, step: &crate::dispatch::model::Step) -> bool {
     let labels = &executor.profile.labels;
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -14,11 +14,6 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// Callers that are refused come back after this long at the earliest, in milliseconds.
-const RETRY_BASE_MS: u32 = 400;
-/// They are spread over this long, in milliseconds.
-const RETRY_SPREAD_MS: u32 = 800;
-
 impl Scheduler {
     /// A job is handed in. The caller hears of its end by [`Action::Answer`].
     pub fn submit(&mut self, now: Mono, caller: CallerId, request: JobRequest) {
@@ -62,7 +57,13 @@
             return self.refuse_unheld(caller, number, "no-queue");
         };
         let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
-        let mut job = Job::new(self.now, request, queue, learned);
+        let mut job = Job::new(
+            self.now,
+            request,
+            queue,
+            learned,
+            &self.setup.policy.admission,
+        );
         if self.ends_too_late(&job) {
             return self.refuse_unheld(caller, number, "leaving");
         }
@@ -96,8 +97,11 @@
 
     /// A refusal with a time to come back that spreads the callers.
     pub(super) fn refusal(&mut self) -> JobOutcome {
-        let spread = rand::Rng::random_range(&mut self.rng, 0..RETRY_SPREAD_MS);
-        JobOutcome::Refused(RETRY_BASE_MS + spread)
+        let policy = self.setup.policy.admission;
+        let base = crate::clock::millis(policy.retry_base) as u32;
+        let spread = crate::clock::millis(policy.retry_spread) as u32;
+        let spread = rand::Rng::random_range(&mut self.rng, 0..spread);
+        JobOutcome::Refused(base + spread)
     }
 
     /// A caller has left. A job that nobody waits for is cancelled.
--- a/lib/src/findings.rs
+++ b/lib/src/findings.rs
@@ -132,6 +132,40 @@
         }
     }
 
+    /// A number within a range, or its default.
+    pub fn ratio(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        range: std::ops::RangeInclusive<f64>,
+        findings: &mut Findings,
+    ) -> f64 {
+        let Some(value) = self.value(name) else {
+            return default;
+        };
+        match value.as_f64() {
+            Some(n) if range.contains(&n) => n,
+            _ => {
+                let (low, high) = (range.start(), range.end());
+                let message = format!("must be a number from {low} to {high}, is {value}");
+                findings.add(&self.at(name), message);
+                default
+            }
+        }
+    }
+
+    /// True or false, or the default.
+    pub fn switch(&mut self, name: &'static str, default: bool, findings: &mut Findings) -> bool {
+        let Some(value) = self.value(name) else {
+            return default;
+        };
+        value.as_bool().unwrap_or_else(|| {
+            let message = format!("must be true or false, is {value}");
+            findings.add(&self.at(name), message);
+            default
+        })
+    }
+
     /// A text, or its default; `None` as default makes the field required.
     pub fn text(
         &mut self,
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -18,6 +18,7 @@
 use stackcourse_lib::dispatch::model::EndKind;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::TaskName;
+use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::LinkId;
 use stackcourse_lib::prelude::Mono;
@@ -53,6 +54,7 @@
             fence: 5,
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
+            policy: Policy::default(),
         };
         Bench {
             executor: Executor::new(setup),
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -12,6 +12,7 @@
 use stackcourse_lib::dispatch::model::JobRequest;
 use stackcourse_lib::dispatch::model::Step;
 use stackcourse_lib::dispatch::model::TaskName;
+use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::dispatch::scheduler::Action;
 use stackcourse_lib::dispatch::scheduler::CallerId;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
@@ -45,6 +46,7 @@
             lapse: Duration::from_millis(1300),
             started: Mono(1),
             seed: 1,
+            policy: Policy::default(),
         };
         let mut bench = Bench {
             scheduler: Scheduler::new(setup),
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -19,6 +19,7 @@
 use stackcourse_lib::dispatch::executor::StartCall;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::dispatch::scheduler;
 use stackcourse_lib::dispatch::scheduler::CallerId;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
@@ -187,6 +188,7 @@
             fence: life * 1000,
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(550),
+            policy: Policy::default(),
         };
         ExecutorNode {
             executor: Executor::new(setup),
@@ -209,6 +211,7 @@
             lapse: Duration::from_millis(1300),
             started: Mono(self.now + skew),
             seed: life,
+            policy: Policy::default(),
         };
         let mut scheduler = Scheduler::new(setup);
         scheduler.set_catalog(Mono(self.now + skew), self.callers.catalog.clone());
