scheduler: a worker's pace is the middle of several jobs', and runs are moved off a slow one

Every one of four schedulers sent each slow worker a task on trial each 500 ms, and each made a whole job late; and a worker's mean pace also rose by single jobs with a wrong estimate, of which only readings above twice the estimate counted. Ruled out: longer waits between trials alone (a worker is then well for seconds before it is seen). Change: pace is read from the progress of runs over 40 ms and from their ends, the newest reading of each of seven jobs, the middle counts; trials are spread over the schedulers; a run that would be late at a slow worker and in time elsewhere is stopped, once, and placed again when its end is confirmed (SC411); SC250 and SC251 tell of slow workers.

--- a/lib/src/dispatch/executor/health.rs
+++ b/lib/src/dispatch/executor/health.rs
@@ -1,5 +1,7 @@
 //! How well the worker does: told from ends and progress, not from what it says of itself.
 
+use std::collections::VecDeque;
+
 use super::Executor;
 use super::RunState;
 use crate::dispatch::model::EndKind;
@@ -9,11 +11,34 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
+/// Readings above this say no more than that the worker is very slow.
+const MOST_RATIO: f64 = 20.0;
+
+/// How long a run took, or takes by its progress, against its estimate.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    job: JobNumber,
+    ratio: f64,
+    at: Mono,
+}
+
+/// The middle of some numbers; 0 if there are none. Of an even count it is the lower one, so that
+/// half of the readings alone do not make a worker slow.
+fn middle(numbers: impl Iterator<Item = f64>) -> f64 {
+    let mut numbers: Vec<f64> = numbers.collect();
+    numbers.sort_by(f64::total_cmp);
+    let at = numbers.len().saturating_sub(1) / 2;
+    numbers.get(at).copied().unwrap_or(0.0)
+}
+
 /// The worker's recent history.
 #[derive(Debug)]
 pub(super) struct Health {
     policy: HealthPolicy,
-    /// How long tasks take against their estimates; 0 if not known.
+    /// How long tasks took against their estimates, the newest reading of each job, the oldest
+    /// first.
+    readings: VecDeque<Reading>,
+    /// The middle of the readings; 0 if not known.
     pace: f64,
     failures: u32,
     last_failed: Option<JobNumber>,
@@ -28,6 +53,7 @@
     pub fn new(policy: HealthPolicy) -> Health {
         Health {
             policy,
+            readings: VecDeque::new(),
             pace: 0.0,
             failures: 0,
             last_failed: None,
@@ -38,12 +64,14 @@
     }
 
     /// A run ended whole.
-    pub fn done(&mut self, ran: Duration, estimate: Duration) {
+    pub fn done(&mut self, now: Mono, job: JobNumber, ratio: Option<f64>) {
         self.failures = 0;
         self.last_failed = None;
         self.suspect = false;
         self.gap = self.policy.trial_first;
-        self.learn(ran, estimate);
+        if let Some(ratio) = ratio {
+            self.read_pace(now, job, ratio);
+        }
     }
 
     /// A run failed, or the worker turned a start away.
@@ -79,35 +107,24 @@
         }
     }
 
-    /// A run that has not ended is this far.
-    pub fn progress(&mut self, ran: Duration, percent: u32, estimate: Duration) {
-        if (self.policy.least_progress..100).contains(&percent) {
-            let whole = ran.mul_f64(100.0 / f64::from(percent));
-            if whole > estimate.mul_f64(2.0) {
-                self.learn(whole, estimate);
-            }
-        }
-    }
-
-    fn learn(&mut self, ran: Duration, estimate: Duration) {
-        if estimate.is_zero() {
-            return;
-        }
-        let ratio = (ran.as_secs_f64() / estimate.as_secs_f64()).min(20.0);
-        if self.pace == 0.0 {
-            self.pace = ratio;
-        } else {
-            let recovers = ratio < self.pace / 2.0;
-            let weight = if recovers {
-                self.policy.recovery_weight
-            } else {
-                self.policy.pace_weight
-            };
-            self.pace += weight * (ratio - self.pace);
+    /// A run of a job takes this many times its estimate.
+    pub fn read_pace(&mut self, now: Mono, job: JobNumber, ratio: f64) {
+        let (most, age) = (self.policy.pace_jobs as usize, self.policy.pace_age);
+        self.readings
+            .retain(|r| r.job != job && now.since(r.at) < age);
+        if self.readings.len() >= most {
+            self.readings.pop_front();
         }
+        let ratio = ratio.min(MOST_RATIO);
+        self.readings.push_back(Reading {
+            job,
+            ratio,
+            at: now,
+        });
+        self.pace = middle(self.readings.iter().map(|r| r.ratio));
     }
 
-    /// The mean pace, in percent of the estimates; 0 if not known.
+    /// The pace, in percent of the estimates; 0 if not known.
     pub fn pace_percent(&self) -> u32 {
         (self.pace * 100.0) as u32
     }
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -157,10 +157,10 @@
 
     fn learn(&mut self, now: Mono, row: &FinishedRow, kind: EndKind) {
         let run = &self.runs[&row.run.task];
-        let (ran, estimate) = (now.since(run.began), run.estimate);
+        let (job, ratio) = (row.run.task.job, run.ratio(now));
         match kind {
-            EndKind::Done => self.health.done(ran, estimate),
-            EndKind::Failed => self.health.failed(now, row.run.task.job),
+            EndKind::Done => self.health.done(now, job, ratio),
+            EndKind::Failed => self.health.failed(now, job),
             _ => {}
         }
     }
@@ -177,8 +177,13 @@
         if row.percent != run.percent {
             run.percent = row.percent;
             run.moved = now;
-            let ran = now.since(run.began);
-            self.health.progress(ran, row.percent, run.estimate);
+        }
+        let span = self.setup.policy.health.pace_span;
+        if run.state == RunState::Running
+            && let Some(ratio) = run.read_pace(now, span)
+        {
+            self.health.read_pace(now, row.run.task.job, ratio);
+            self.tell_if_slow(row.run.task);
         }
     }
 
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -51,6 +51,10 @@
     pub listed_by: u64,
     pub percent: u32,
     pub moved: Mono,
+    /// From when and where on its pace is read next.
+    mark: (Mono, u32),
+    /// How long it will still take at its present pace, once that was read.
+    pub remaining: Option<Duration>,
     spec: Rc<str>,
     checkpoint: String,
 }
@@ -67,6 +71,30 @@
     }
 }
 
+impl Run {
+    /// Its pace since it was last read, against its estimate, if it has run for `span` since.
+    pub fn read_pace(&mut self, now: Mono, span: Duration) -> Option<f64> {
+        let (since, from) = self.mark;
+        let ran = now.since(since);
+        if ran < span.max(self.estimate / 10) || self.estimate.is_zero() {
+            return None;
+        }
+        // Percents are whole: none may be nearly one.
+        let gained = f64::from(self.percent.saturating_sub(from)).max(0.5);
+        let whole = ran.mul_f64(100.0 / gained);
+        let left = f64::from(100u32.saturating_sub(self.percent));
+        self.mark = (now, self.percent);
+        self.remaining = Some(whole.mul_f64(left / 100.0));
+        Some(whole.as_secs_f64() / self.estimate.as_secs_f64())
+    }
+
+    /// How long it ran against its estimate, now that it has ended.
+    pub fn ratio(&self, now: Mono) -> Option<f64> {
+        let ran = now.since(self.began).as_secs_f64();
+        (!self.estimate.is_zero()).then(|| ran / self.estimate.as_secs_f64())
+    }
+}
+
 /// A task that waits for room.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
@@ -142,6 +170,8 @@
             listed_by: u64::MAX,
             percent: 0,
             moved: now,
+            mark: (now, 0),
+            remaining: None,
             spec: waiting.spec,
             checkpoint: waiting.checkpoint,
         };
@@ -179,6 +209,7 @@
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
                     run.moved = now;
+                    run.mark = (now, 0);
                 }
             }
             OrderReply::Refused(reason) => self.start_refused(now, name, reason),
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -29,6 +29,8 @@
     pub sequence: u64,
     pub claimed: Vec<JobNumber>,
     pub denied: Vec<JobNumber>,
+    /// Runs of the scheduler that go slowly and that it has not been told of yet.
+    pub slow: Vec<TaskName>,
     pub urgent: bool,
     pub changed: bool,
     pub last_sent: Mono,
@@ -38,6 +40,15 @@
     pub profile_told: u64,
 }
 
+/// A run that goes slowly, as it is told; none if it is not there any more.
+fn slow_run(runs: &BTreeMap<TaskName, Run>, task: TaskName) -> Option<proto::SlowRun> {
+    let run = runs.get(&task)?;
+    Some(proto::SlowRun {
+        task: Some(task.proto(run.attempt)),
+        remaining_ms: crate::clock::millis(run.remaining?) as u32,
+    })
+}
+
 /// The key of a session, and of what runs for it: a scheduler's name and life.
 fn owner_of(greeting: &proto::Greeting) -> String {
     format!("{}#{:x}", greeting.name, greeting.incarnation)
@@ -63,6 +74,7 @@
             sequence: 0,
             claimed: Vec::new(),
             denied: Vec::new(),
+            slow: Vec::new(),
             urgent: true,
             changed: true,
             last_sent: Mono::default(),
@@ -310,6 +322,9 @@
         session.last_sent = now;
         let claimed = session.claimed.drain(..).map(|j| j.0).collect();
         let denied = session.denied.drain(..).map(|j| j.0).collect();
+        let slow = std::mem::take(&mut session.slow);
+        let slow = slow.iter().filter_map(|task| slow_run(&self.runs, *task));
+        let slow = slow.collect();
         let worker = worker.map(|w| proto::WorkerReport {
             sequence: session.sequence,
             ..w
@@ -322,11 +337,29 @@
             held,
             denied,
             profile,
+            slow,
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, body));
     }
 
+    /// Notes that a run goes slowly at a worker that is slow, so that its scheduler can have it run
+    /// elsewhere.
+    pub(super) fn tell_if_slow(&mut self, task: TaskName) {
+        let slow = f64::from(self.health.pace_percent()) > self.setup.policy.health.slow_ratio * 100.0;
+        let Some(run) = self.runs.get(&task).filter(|_| slow) else {
+            return;
+        };
+        let remaining = run.remaining.unwrap_or_default();
+        if remaining > run.estimate
+            && let Some(session) = self.sessions.get_mut(&run.scheduler)
+            && !session.slow.contains(&task)
+        {
+            session.slow.push(task);
+            session.changed = true;
+        }
+    }
+
     fn held_for(&self, name: &str) -> proto::HeldTasks {
         let runs = self.runs.iter().filter(|(_, r)| r.scheduler == name);
         let runs = runs.map(|(t, r)| t.proto(r.attempt));
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -245,16 +245,20 @@
 section! {
     /// How slow, failing and hanging workers are told, and when they are tried again.
     Health ("health") {
-        /// A worker that takes this many times as long as the others gets tasks on trial only.
-        slow_ratio: ratio = 1.9, 1.0..=100.0;
-        /// Such a worker gets a task on trial of each scheduler this often.
-        slow_trial: ms = 500, 1..=60_000;
-        /// The weight of the newest reading in a worker's mean pace.
-        pace_weight: ratio = 0.15, 0.0..=1.0;
-        /// The same where the newest reading is less than half of the mean: a worker that was slow has few tasks to show that it is well again.
-        recovery_weight: ratio = 0.45, 0.0..=1.0;
-        /// Progress below this says too little about the pace, in percent.
-        least_progress: count = 10, 1..=99;
+        /// A worker that takes this many times as long as the others gets tasks on trial only. Estimates are off by 40 %, the middle of seven by 20 %.
+        slow_ratio: ratio = 2.0, 1.0..=100.0;
+        /// Such a worker gets a task on trial this often, for each scheduler that is linked: the more there are, the less each tries.
+        slow_trial: ms = 200, 1..=60_000;
+        /// A worker's pace is the middle of the newest readings of so many jobs, so that one job with a wrong estimate does not make it slow.
+        pace_jobs: count = 7, 1..=100;
+        /// Older readings do not count while there are newer ones, so that a worker that was slow is soon seen to be well again.
+        pace_age: ms = 1000, 1..=60_000;
+        /// A run's pace is read from its progress over this long, or a tenth of its estimate if that is longer. Two holds.
+        pace_span: ms = 40, 1..=60_000;
+        /// A run at a slow worker is stopped and run elsewhere if it would be late here and in time there.
+        move_slow: switch = true, ();
+        /// How long it takes to stop it and to start it elsewhere. The worker's stop takes up to 50 ms, a few as a rule.
+        move_time: ms = 25, 0..=60_000;
         /// So many failures of different jobs in a row make a worker suspect.
         failures: count = 3, 1..=1000;
         /// The shortest wait between tasks on trial at a suspect worker. It doubles with each trial that goes wrong.
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -10,6 +10,7 @@
 mod ends;
 mod fleet;
 mod jobs;
+mod pace;
 mod peers;
 mod placing;
 mod submit;
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -47,6 +47,8 @@
     last_orders: Mono,
     seen_ends: u64,
     pub last_trial: Mono,
+    /// Whether it takes much longer than the others.
+    pub slow: bool,
     /// While an executor that was started anew has not met its worker: when what its forerunner
     /// had started can not run any more at the latest.
     renewed: Option<Mono>,
@@ -74,6 +76,7 @@
             last_orders: Mono::default(),
             seen_ends: 0,
             last_trial: Mono::default(),
+            slow: false,
             renewed: None,
         }
     }
@@ -236,6 +239,10 @@
         for end in update.ends {
             self.task_ended(key, &end);
         }
+        self.judge_pace(key);
+        for run in &update.slow {
+            self.move_slow(key, run);
+        }
         match (update.held, self.executors[key].renewed) {
             (_, Some(at)) => self.settle_renewed(key, at),
             (Some(held), None) => self.reconcile(key, &held),
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -35,6 +35,8 @@
     pub checkpoint: String,
     /// Where it last failed.
     pub avoid: Option<ExecutorKey>,
+    /// Whether its run was stopped because it went slowly. That is done once.
+    pub moved: bool,
 }
 
 /// Whether a job may be placed.
@@ -214,6 +216,7 @@
                 failures: 0,
                 checkpoint: String::new(),
                 avoid: None,
+                moved: false,
             });
         }
     }
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -77,7 +77,6 @@
         let most = self.setup.policy.admission.round_jobs as usize;
         let numbers: Vec<(u8, JobNumber)> =
             self.waiting.iter().take(most).map(|w| (w.0, w.2)).collect();
-        let median = self.median_pace();
         self.note_gap();
         for (class, number) in numbers {
             if self.jobs.get(&number).is_some_and(|j| self.is_exposed(j)) {
@@ -85,7 +84,7 @@
                 self.queue_job(number);
                 continue;
             }
-            self.place_job(number, median);
+            self.place_job(number);
             let whole = !self.jobs.get(&number).is_some_and(Job::is_waiting);
             if matches!(class, URGENT | FRESH) && !whole {
                 break;
@@ -95,11 +94,11 @@
 
     /// Places the ready tasks of a job. A fresh job is placed once there is room for most of it,
     /// unless it is so wide that this would never be.
-    fn place_job(&mut self, number: JobNumber, median: f64) {
+    fn place_job(&mut self, number: JobNumber) {
         let Some(mut job) = self.jobs.remove(&number) else {
             return;
         };
-        let plan = self.plan(&job, median);
+        let plan = self.plan(&job);
         let ready = job.tasks.iter().filter(|t| t.state == TaskState::Ready);
         let enough =
             plan.len() as f64 >= ready.count() as f64 * self.setup.policy.admission.begin_share;
@@ -122,7 +121,7 @@
     }
 
     /// Where each of the ready tasks would go, as far as there is room.
-    fn plan(&mut self, job: &Job, median: f64) -> Vec<Placing> {
+    fn plan(&mut self, job: &Job) -> Vec<Placing> {
         let mut free: SecondaryMap<ExecutorKey, Free> = SecondaryMap::new();
         for (key, executor) in &self.executors {
             if executor.takes(self.now, &job.service) {
@@ -131,7 +130,7 @@
         }
         let mut plan: Vec<Placing> = Vec::new();
         for step in 0..job.request.steps.len() as u32 {
-            self.plan_step(job, step, median, &mut free, &mut plan);
+            self.plan_step(job, step, &mut free, &mut plan);
         }
         plan
     }
@@ -140,7 +139,6 @@
         &mut self,
         job: &Job,
         step: u32,
-        median: f64,
         free: &mut SecondaryMap<ExecutorKey, Free>,
         plan: &mut Vec<Placing>,
     ) {
@@ -155,7 +153,7 @@
         let mut next = 0;
         while next < todo.len() {
             let avoid = job.tasks[todo[next]].avoid;
-            let Some((key, trial)) = self.choose(job, step, avoid, median, free, plan) else {
+            let Some((key, trial)) = self.choose(job, step, avoid, free, plan) else {
                 return;
             };
             let most = if trial { 1 } else { share };
@@ -267,13 +265,13 @@
         job: &Job,
         step: u32,
         avoid: Option<ExecutorKey>,
-        median: f64,
         free: &SecondaryMap<ExecutorKey, Free>,
         plan: &[Placing],
     ) -> Option<(ExecutorKey, bool)> {
         let s = &job.request.steps[step as usize];
         let now = self.now;
         let policy = self.setup.policy;
+        let trial_gap = self.trial_gap();
         let mut best: Option<(f64, ExecutorKey, bool)> = None;
         for (key, room) in free {
             let executor = &self.executors[key];
@@ -285,10 +283,8 @@
             if s.spread > 0 && here >= s.spread as usize {
                 continue;
             }
-            let slow = median > 0.0
-                && f64::from(executor.report.pace_percent) > policy.health.slow_ratio * median;
-            let trial = slow || executor.report.suspect;
-            if trial && now.since(executor.last_trial) < policy.health.slow_trial {
+            let trial = executor.slow || executor.report.suspect;
+            if trial && now.since(executor.last_trial) < trial_gap {
                 continue;
             }
             let mut score = room.cpu_milli as f64;
@@ -309,18 +305,6 @@
         best.map(|(_, key, trial)| (key, trial))
     }
 
-    /// The middle of the paces of the executors that report one, in percent.
-    fn median_pace(&self) -> f64 {
-        let paces = self.executors.values().filter(|e| e.link.is_some());
-        let paces = paces.map(|e| e.report.pace_percent).filter(|p| *p > 0);
-        let mut paces: Vec<u32> = paces.collect();
-        if paces.len() < 3 {
-            return 0.0;
-        }
-        paces.sort_unstable();
-        f64::from(paces[paces.len() / 2])
-    }
-
     /// Ends the jobs that wait for nothing.
     pub(super) fn expire_jobs(&mut self) {
         let now = self.now;
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -83,6 +83,7 @@
     JobClaimed = 405, Info, "a job is claimed at the executors before it runs";
     TasksPlaced = 406, Info, "tasks of a job were sent to an executor";
     TaskAgain = 410, Info, "a task is to be placed again";
+    TaskMoved = 411, Info, "a run goes slowly and is stopped, to run elsewhere";
     WorkerUp = 420, Info, "a worker has registered";
     WorkerReady = 421, Info, "a worker takes tasks";
     WorkerDraining = 422, Info, "a worker is leaving and takes no new tasks";
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -170,6 +170,9 @@
     /// Present in the first update on a link, and when it has changed.
     #[prost(message, optional, tag = "8")]
     pub profile: ::core::option::Option<Profile>,
+    /// Runs of the receiver that go slowly at a worker that is slow.
+    #[prost(message, repeated, tag = "9")]
+    pub slow: ::prost::alloc::vec::Vec<SlowRun>,
 }
 /// What changes seldom of an executor and its worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -187,6 +190,15 @@
     #[prost(string, repeated, tag = "5")]
     pub leased: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// A run that goes slowly.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SlowRun {
+    #[prost(message, optional, tag = "1")]
+    pub task: ::core::option::Option<TaskRef>,
+    /// How long it will still take at its present pace, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub remaining_ms: u32,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HeldTasks {
     #[prost(message, repeated, tag = "1")]
