executor: one that was started again asks its worker under the life it knew

Ruled out: asking without a life (the lists tell neither life nor room); schedulers telling it (they were killed as well). Change: an agent's key in the store holds what its worker says of itself, written anew when that changes, and its next life reads it first and asks the worker under that life; a worker in another life says so and is waited for as before. The model world does the same. Cost: one more write for each life of a worker, one read for each start of an agent.

--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -11,5 +11,6 @@
 pub mod links;
 pub mod log_sink;
 pub mod metrics_page;
+pub mod recall;
 pub mod scheduler_host;
 pub mod store;
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -14,6 +14,7 @@
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::executor::WorkerBeat;
 use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::event::Event;
 use stackcourse_lib::event::Kind;
@@ -21,6 +22,7 @@
 use stackcourse_lib::prelude::Mono;
 use stackcourse_lib::protos::dispatch as proto;
 use stackcourse_lib::protos::dispatch::frame::Body;
+use tokio::sync::watch;
 
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
@@ -58,6 +60,8 @@
     policy: LinkPolicy,
     executor: RefCell<Executor>,
     worker: W,
+    /// What the worker says of itself, to be kept for the next life.
+    kept: watch::Sender<Option<WorkerBeat>>,
     start: Instant,
     links: Links,
     log: RefCell<LogSink>,
@@ -70,6 +74,7 @@
             policy: setup.policy.links,
             executor: RefCell::new(Executor::new(setup)),
             worker,
+            kept: watch::Sender::default(),
             start: Instant::now(),
             links: Links::default(),
             log: RefCell::new(log),
@@ -122,6 +127,11 @@
         self.inner.log.borrow().dropped()
     }
 
+    /// What the worker says of itself, as it changes, to be kept for the next life.
+    pub fn kept(&self) -> watch::Receiver<Option<WorkerBeat>> {
+        self.inner.kept.subscribe()
+    }
+
     /// Keeps a link to the scheduler at this address.
     pub fn dial(&self, address: SocketAddr) {
         if self.inner.links.begin(address) {
@@ -140,6 +150,9 @@
             Action::Dial(members) => links::addresses(&members)
                 .into_iter()
                 .for_each(|address| self.dial(address)),
+            Action::Keep(beat) => {
+                self.inner.kept.send_replace(beat);
+            }
             Action::Log(event) => self.inner.log.borrow_mut().log(now, &event),
         }
     }
--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -4,12 +4,12 @@
 //! nobody: members are only ever added, and found dead by contact.
 
 use std::cell::Cell;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use stackcourse_lib::event::Kind;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::dispatch::links::jitter;
@@ -97,42 +97,66 @@
     }
 }
 
-/// Keeps a key with a value under a lease until `leaving` is cancelled, and takes it away then.
+/// Keeps a key under a lease until `leaving` is cancelled, and takes it away then. Each new value
+/// is written at once.
 pub async fn keep_registered<S: KeyStore>(
     store: Rc<S>,
     key: String,
-    value: Bytes,
+    mut value: watch::Receiver<Bytes>,
     leaving: CancellationToken,
 ) {
-    let mut lease: Option<Lease> = None;
+    let mut entry: Option<Entry> = None;
     let mut rounds = 0u32;
     let mut pause = RETRY.0;
     while !leaving.is_cancelled() {
-        let kept = match lease {
-            Some(held) => keep(&*store, held, &key, &value, rounds).await,
-            None => enter(&*store, &key, &value).await,
+        let now = value.borrow_and_update().clone();
+        let kept = match &entry {
+            Some(held) => keep(&*store, held, &key, now, rounds).await,
+            None => enter(&*store, &key, now).await,
         };
         rounds = rounds.wrapping_add(1);
         let wait = match kept {
             Ok(held) => {
-                lease = Some(held);
+                entry = Some(held);
                 pause = RETRY.0;
                 REGISTRATION.1
             }
             Err(error) => {
                 if error == StoreError::NoLease {
-                    lease = None;
+                    entry = None;
                 }
                 let wait = pause;
                 pause = (pause * 2).min(RETRY.1);
                 wait
             }
         };
-        let wait = actix_rt::time::sleep(jitter(wait));
-        let _ = futures::future::select(pin!(wait), pin!(leaving.cancelled())).await;
+        tokio::select! {
+            () = actix_rt::time::sleep(jitter(wait)) => {}
+            () = leaving.cancelled() => {}
+            () = changed(&mut value) => {}
+        }
+    }
+    if let Some(held) = entry {
+        let _ = store.end(held.lease).await;
+    }
+}
+
+/// Waits until there is a new value; for good if there will be none.
+async fn changed(value: &mut watch::Receiver<Bytes>) {
+    if value.changed().await.is_err() {
+        std::future::pending::<()>().await;
     }
-    if let Some(held) = lease {
-        let _ = store.end(held).await;
+}
+
+/// Reads a key, trying until the store answers.
+pub async fn read<S: KeyStore>(store: &S, key: &str) -> Option<Item> {
+    let mut pause = RETRY.0;
+    loop {
+        if let Ok((item, _)) = store.get(key).await {
+            return item;
+        }
+        actix_rt::time::sleep(jitter(pause)).await;
+        pause = (pause * 2).min(RETRY.1);
     }
 }
 
@@ -149,21 +173,32 @@
     }
 }
 
-async fn enter<S: KeyStore>(store: &S, key: &str, value: &Bytes) -> Result<Lease, StoreError> {
+/// A key as it was last written.
+struct Entry {
+    lease: Lease,
+    value: Bytes,
+}
+
+async fn enter<S: KeyStore>(store: &S, key: &str, value: Bytes) -> Result<Entry, StoreError> {
     let lease = store.grant(REGISTRATION.0).await?;
     store.put(key, value.clone(), Some(lease)).await?;
-    Ok(lease)
+    Ok(Entry { lease, value })
 }
 
-/// Renews the lease; now and then makes sure that the key is there, since keys can be taken away
-/// while their lease lives.
+/// Writes a new value, or renews the lease; now and then makes sure that the key is there, since
+/// keys can be taken away while their lease lives.
 async fn keep<S: KeyStore>(
     store: &S,
-    lease: Lease,
+    held: &Entry,
     key: &str,
-    value: &Bytes,
+    value: Bytes,
     rounds: u32,
-) -> Result<Lease, StoreError> {
+) -> Result<Entry, StoreError> {
+    let lease = held.lease;
+    if value != held.value {
+        store.put(key, value.clone(), Some(lease)).await?;
+        return Ok(Entry { lease, value });
+    }
     store.renew(lease).await?;
     if rounds.is_multiple_of(LOOK_EVERY) {
         let (item, _) = store.get(key).await?;
@@ -171,5 +206,5 @@
             store.put(key, value.clone(), Some(lease)).await?;
         }
     }
-    Ok(lease)
+    Ok(Entry { lease, value })
 }
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -79,6 +79,9 @@
     Hold(HoldCall),
     /// Connect to schedulers that are not linked yet.
     Dial(Vec<proto::Member>),
+    /// Keep what the worker says of itself where the next life of this process finds it; nothing
+    /// if there is no worker.
+    Keep(Option<WorkerBeat>),
     /// Write a log line.
     Log(Event),
 }
@@ -147,8 +150,12 @@
     kept_until: Mono,
     /// Whether no run was found at the worker before it first said anything of itself.
     vacant: bool,
-    /// Whether the hold that is under way was sent before the worker said anything.
-    probing: bool,
+    /// The life that is named by the hold that is under way, if it was sent before the worker
+    /// said anything; empty if it names none.
+    probing: Option<String>,
+    /// What a worker said to an earlier life of this process. It is taken up if the worker is
+    /// still in that life.
+    recalled: Option<WorkerBeat>,
     holding: bool,
     /// Counts holds that were sent.
     holds: u64,
@@ -176,7 +183,8 @@
             unclean_since: setup.started,
             kept_until: Mono::default(),
             vacant: false,
-            probing: false,
+            probing: None,
+            recalled: None,
             holding: false,
             holds: 0,
             hold_at: Mono::default(),
@@ -242,6 +250,9 @@
             if !same {
                 self.profile_changed();
             }
+            if !same || drains {
+                self.keep_worker();
+            }
             if drains {
                 self.log(Kind::WorkerDraining, self.life());
                 self.return_queue(now);
@@ -316,6 +327,21 @@
             ..Worker::default()
         });
         self.profile_changed();
+        self.keep_worker();
+    }
+
+    /// Takes note of what the worker said to an earlier life of this process. It is asked at once
+    /// whether it is still in that life, so that it need not be waited for until it says so again.
+    pub fn recall(&mut self, now: Mono, beat: WorkerBeat) {
+        if self.worker.is_none() {
+            self.recalled = Some(beat);
+            self.work(now);
+        }
+    }
+
+    fn keep_worker(&mut self) {
+        let beat = self.worker.as_ref().map(|w| w.beat.clone());
+        self.actions.push(Action::Keep(beat));
     }
 
     /// Everything that ran in this life of the worker is over.
@@ -323,6 +349,7 @@
         self.log(Kind::WorkerDown, self.life());
         self.worker = None;
         self.profile_changed();
+        self.keep_worker();
         let names: Vec<TaskName> = self.runs.keys().copied().collect();
         for name in names {
             self.end_run_lost(now, name);
@@ -384,12 +411,14 @@
     /// its first heartbeat. The fencing token keeps late orders of an earlier executor from
     /// starting anything after that.
     fn probe(&mut self) {
-        if self.vacant {
+        if self.vacant && self.recalled.is_none() {
             return;
         }
-        self.probing = true;
+        let life = self.recalled.as_ref().map(|beat| beat.life.clone());
+        let life = life.unwrap_or_default();
+        self.probing = Some(life.clone());
         self.send_hold(HoldCall {
-            life: String::new(),
+            life,
             deadline_ms: 0,
             fence: self.fence,
             seen: 0,
--- a/lib/src/dispatch/executor/calls.rs
+++ b/lib/src/dispatch/executor/calls.rs
@@ -3,11 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::TaskName;
 
 /// What a worker says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerBeat {
     /// The id of its present life.
     pub life: String,
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -6,6 +6,7 @@
 use super::RunName;
 use super::RunState;
 use super::RunningRow;
+use super::WorkerBeat;
 use super::WorkerEnd;
 use super::runs::Run;
 use crate::dispatch::model::EndKind;
@@ -18,9 +19,16 @@
     pub fn held(&mut self, now: Mono, reply: HoldReply) {
         self.holding = false;
         self.hold_at = now;
-        if std::mem::take(&mut self.probing) {
-            self.probed(now, reply);
-            return self.work(now);
+        if let Some(life) = self.probing.take() {
+            if !self.is_recalled(&life) {
+                self.probed(now, reply);
+                return self.work(now);
+            }
+            if !matches!(reply, HoldReply::Lists { .. }) {
+                self.recall_failed(now, &reply);
+                return self.work(now);
+            }
+            self.begin_recalled(now);
         }
         match reply {
             HoldReply::Lists {
@@ -36,6 +44,35 @@
         self.work(now);
     }
 
+    /// Whether a hold was meant for the life of the worker that an earlier life of this process
+    /// knew.
+    fn is_recalled(&self, life: &str) -> bool {
+        let same = |beat: &WorkerBeat| beat.life == life;
+        self.worker.is_none() && self.recalled.as_ref().is_some_and(same)
+    }
+
+    /// The worker is not in the life that was recalled, or has not answered yet.
+    fn recall_failed(&mut self, now: Mono, reply: &HoldReply) {
+        self.hold_at = now + self.setup.policy.orders.ask_again;
+        match reply {
+            HoldReply::Fenced => self.raise_fence(),
+            HoldReply::NoAnswer | HoldReply::Lists { .. } => {}
+            HoldReply::WrongLife | HoldReply::Unreachable => self.recalled = None,
+        }
+    }
+
+    /// The worker has answered under the life that was recalled.
+    fn begin_recalled(&mut self, now: Mono) {
+        if let Some(beat) = self.recalled.take() {
+            // Its next beat may have a lower number than the last one told to the earlier life.
+            let beat = WorkerBeat {
+                sequence: 0,
+                ..beat
+            };
+            self.begin_life(now, beat);
+        }
+    }
+
     /// The reply to a hold that was sent before the worker had said anything of itself.
     fn probed(&mut self, now: Mono, reply: HoldReply) {
         if self.worker.is_some() {
@@ -223,6 +260,7 @@
         if !worker.clean && running.is_empty() {
             worker.clean = true;
             self.log(Kind::WorkerReady, self.life());
+            self.sessions.values_mut().for_each(|s| s.changed = true);
         }
     }
 }
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -346,7 +346,8 @@
     /// Notes that a run goes slowly at a worker that is slow, so that its scheduler can have it run
     /// elsewhere.
     pub(super) fn tell_if_slow(&mut self, task: TaskName) {
-        let slow = f64::from(self.health.pace_percent()) > self.setup.policy.health.slow_ratio * 100.0;
+        let slow =
+            f64::from(self.health.pace_percent()) > self.setup.policy.health.slow_ratio * 100.0;
         let Some(run) = self.runs.get(&task).filter(|_| slow) else {
             return;
         };
--- a/lib/src/dispatch/scheduler/pace.rs
+++ b/lib/src/dispatch/scheduler/pace.rs
@@ -43,7 +43,11 @@
             return;
         }
         executor.slow = slow;
-        let kind = if slow { Kind::WorkerSick } else { Kind::WorkerWell };
+        let kind = if slow {
+            Kind::WorkerSick
+        } else {
+            Kind::WorkerWell
+        };
         let name = &executor.name;
         let detail = format!("{name}: pace {pace} % of the estimates, the others {median} %");
         self.log(kind, detail);
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -1,5 +1,8 @@
 //! The executor: room, leases, claims, and orders that get no answer.
 
+mod recall;
+mod slow;
+
 use std::time::Duration;
 
 use assert_matches::assert_matches;
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -1,5 +1,7 @@
 //! The scheduler: jobs that come, wait, come again and end.
 
+mod slow;
+
 use std::rc::Rc;
 use std::time::Duration;
 
--- /dev/null
+++ b/lib/tests/runner/test_scheduler/slow.rs
@@ -0,0 +1,125 @@
+//! Runs that go slowly are moved off a slow worker.
+
+use stackcourse_lib::dispatch::model::EndKind;
+use stackcourse_lib::event::Kind;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::protos::dispatch as proto;
+
+use super::Action;
+use super::Bench;
+use super::EXECUTOR;
+use super::profile;
+use super::task;
+
+const OTHERS: [LinkId; 2] = [LinkId(21), LinkId(22)];
+
+/// Three executors at their ordinary pace, and a job of one task at the first.
+fn with_a_job() -> Bench {
+    let mut bench = Bench::ready();
+    for link in OTHERS {
+        bench.link(link, &format!("e{}", link.0), true);
+    }
+    for link in OTHERS {
+        bench.pace(link, 100, 0, Vec::new());
+    }
+    bench.pace(EXECUTOR, 100, 4000, Vec::new());
+    bench.actions.clear();
+    bench.submit_of(1, 9, 1, 400);
+    assert_eq!(bench.starts(), [(9, 0, 1)]);
+    bench.actions.clear();
+    bench
+}
+
+impl Bench {
+    fn pace(&mut self, link: LinkId, percent: u32, free: i64, slow: Vec<proto::SlowRun>) {
+        let update = proto::Update {
+            profile: Some(profile(Vec::new())),
+            slow,
+            ..proto::Update::default()
+        };
+        let report = proto::WorkerReport {
+            ready: true,
+            free_cpu_milli: free,
+            free_memory_mb: 1000,
+            sequence: 1000,
+            pace_percent: percent,
+            ..proto::WorkerReport::default()
+        };
+        self.report_on(link, report, update);
+    }
+
+    fn report_on(&mut self, link: LinkId, report: proto::WorkerReport, update: proto::Update) {
+        self.clock_us += 1;
+        let update = proto::Update {
+            clock_us: self.clock_us,
+            worker: Some(report),
+            ..update
+        };
+        let body = proto::frame::Body::Update(update);
+        self.scheduler.message(self.now, link, body);
+        self.take();
+    }
+
+    fn stops(&self) -> usize {
+        self.orders().iter().map(|o| o.stops.len()).sum()
+    }
+
+    fn has_logged(&self, kind: Kind) -> bool {
+        let mut actions = self.actions.iter();
+        actions.any(|a| matches!(a, Action::Log(event) if event.kind == kind))
+    }
+}
+
+fn slow(remaining_ms: u32) -> Vec<proto::SlowRun> {
+    vec![proto::SlowRun {
+        task: Some(task(9, 0).proto(1)),
+        remaining_ms,
+    }]
+}
+
+#[test]
+fn test_scheduler_moves_a_run_that_would_be_late_off_a_slow_worker() {
+    let mut bench = with_a_job();
+    bench.pace(OTHERS[0], 100, 4000, Vec::new());
+    bench.pace(EXECUTOR, 500, 3000, slow(1900));
+    assert_eq!(bench.stops(), 1);
+    assert!(bench.has_logged(Kind::WorkerSick));
+    assert!(bench.has_logged(Kind::TaskMoved));
+    assert_eq!(bench.starts(), [], "its end is waited for");
+    bench.actions.clear();
+    bench.end(task(9, 0), 1, EndKind::Stopped);
+    assert_eq!(bench.starts(), [(9, 0, 2)]);
+}
+
+#[test]
+fn test_scheduler_leaves_a_slow_run_that_is_in_time() {
+    let mut bench = with_a_job();
+    bench.pace(OTHERS[0], 100, 4000, Vec::new());
+    bench.pace(EXECUTOR, 500, 3000, slow(600));
+    assert_eq!(bench.stops(), 0);
+}
+
+#[test]
+fn test_scheduler_leaves_a_slow_run_when_there_is_no_room_elsewhere() {
+    let mut bench = with_a_job();
+    bench.pace(EXECUTOR, 500, 3000, slow(1900));
+    assert_eq!(bench.stops(), 0);
+}
+
+#[test]
+fn test_scheduler_leaves_a_slow_run_that_would_be_late_elsewhere_too() {
+    let mut bench = with_a_job();
+    bench.pass(300);
+    bench.pace(OTHERS[0], 100, 4000, Vec::new());
+    bench.pace(EXECUTOR, 500, 3000, slow(1900));
+    assert_eq!(bench.stops(), 0);
+}
+
+#[test]
+fn test_scheduler_moves_a_task_once() {
+    let mut bench = with_a_job();
+    bench.pace(OTHERS[0], 100, 4000, Vec::new());
+    bench.pace(EXECUTOR, 500, 3000, slow(1900));
+    bench.pace(EXECUTOR, 500, 3000, slow(1900));
+    assert_eq!(bench.stops(), 1);
+}
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -17,6 +17,7 @@
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
+use stackcourse_lib::dispatch::executor::WorkerBeat;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::policy::Policy;
@@ -46,6 +47,8 @@
 const HOLD_EXTRA_US: u64 = 20_000;
 /// The store tells a scheduler after this long which executors there are, in microseconds.
 const ROSTER_US: u64 = 30_000;
+/// An executor has read its key in the store this long after its start.
+const RECALL_US: u64 = 6_000;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
@@ -68,6 +71,8 @@
     Again(JobNumber),
     Return(Node),
     Roster(usize, u64),
+    /// An executor reads what an earlier life of it has left in the store.
+    Recall(usize, u64),
 }
 
 fn executor_name(number: usize) -> String {
@@ -116,6 +121,8 @@
     pub trace: bool,
     schedulers: Vec<SchedulerNode>,
     executors: Vec<ExecutorNode>,
+    /// What executors have written to the store of their workers.
+    kept: Vec<Option<WorkerBeat>>,
     due: BTreeMap<(u64, u64), Due>,
     sequence: u64,
     lives: u64,
@@ -143,6 +150,7 @@
             trace: false,
             schedulers: Vec::new(),
             executors: Vec::new(),
+            kept: vec![None; executors],
             due: BTreeMap::new(),
             sequence: 0,
             lives: 0,
@@ -231,6 +239,9 @@
         if let Node::Scheduler(number) = node {
             self.at(ROSTER_US, Due::Roster(number, life));
         }
+        if let Node::Executor(number) = node {
+            self.at(RECALL_US, Due::Recall(number, life));
+        }
         for number in 0..self.schedulers.len() {
             let to = Node::Scheduler(number);
             if to != node {
@@ -330,6 +341,7 @@
             Due::Again(number) => self.hand_in_again(number),
             Due::Return(node) => self.come_back(node),
             Due::Roster(n, life) => self.tell_roster(n, life),
+            Due::Recall(n, life) => self.recall(n, life),
         }
     }
 
@@ -401,11 +413,18 @@
                     }
                 }
                 executor::Action::Log(event) => self.print(Node::Executor(n), &event.to_string()),
+                executor::Action::Keep(beat) => self.kept[n] = beat,
                 executor::Action::Dial(_) => {}
             }
         }
     }
 
+    fn recall(&mut self, n: usize, life: u64) {
+        if let Some(beat) = self.kept[n].clone() {
+            self.with_executor(n, life, |e, now| e.recall(now, beat));
+        }
+    }
+
     /// Prints a line if the world is traced.
     pub fn print(&self, node: Node, text: &str) {
         if self.trace {
