links: the first tries to connect are short

Cause: after a return of power the processes came up 50 to 400 ms apart, and each that had tried to reach one that was not up yet hung in that try for 400 ms: a packet sent to a machine without power is lost, and sent again after a second. Change: connecting has a bound of its own, 60 ms at first, doubled with each failure up to the 400 ms of before.

--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::SinkExt;
@@ -33,6 +34,9 @@
     /// The connection failed.
     #[error("the connection failed")]
     Io(#[from] std::io::Error),
+    /// There was no connection in time.
+    #[error("there was no connection in time")]
+    Unreached,
     /// The other end did not greet in time.
     #[error("the other end did not greet in time")]
     Silent,
@@ -108,24 +112,23 @@
     }
 }
 
-/// Connects to another process and runs the link until it is down.
+/// Connects to another process within `patience` and runs the link until it is down.
 ///
 /// # Errors
 ///
 /// When the link could not be set up.
-pub async fn dial(address: SocketAddr, listener: &impl Listener) -> Result<(), ChannelError> {
-    let connect = async {
-        let mut wire = framed(TcpStream::connect(address).await?);
-        let theirs = greet(&mut wire, listener.greeting()).await?;
-        Ok::<_, ChannelError>((wire, theirs))
-    };
-    let timed = tokio::time::timeout(listener.policy().greeting, connect).await;
-    let (wire, theirs) = timed.map_err(|_| ChannelError::Silent)??;
-    run(wire, theirs, listener).await;
-    Ok(())
+pub async fn dial(
+    address: SocketAddr,
+    patience: Duration,
+    listener: &impl Listener,
+) -> Result<(), ChannelError> {
+    let connecting = TcpStream::connect(address);
+    let timed = tokio::time::timeout(patience, connecting).await;
+    let stream = timed.map_err(|_| ChannelError::Unreached)??;
+    serve(stream, listener).await
 }
 
-/// Runs a link that another process has opened, until it is down.
+/// Exchanges greetings on a connection and runs the link until it is down.
 ///
 /// # Errors
 ///
--- a/lib/daemon/src/dispatch/links.rs
+++ b/lib/daemon/src/dispatch/links.rs
@@ -57,13 +57,18 @@
 pub async fn keep<L: Listener>(address: SocketAddr, listener: L, linked: impl Fn() -> bool) {
     let policy = listener.policy();
     let mut wait = policy.redial_first;
+    let mut patience = policy.connect_first;
     loop {
         if linked() {
             actix_rt::time::sleep(policy.redial_last).await;
             continue;
         }
-        if channel::dial(address, &listener).await.is_ok() {
-            wait = policy.redial_first;
+        match channel::dial(address, patience, &listener).await {
+            Ok(()) => {
+                wait = policy.redial_first;
+                patience = policy.connect_first;
+            }
+            Err(_) => patience = (patience * 2).min(policy.greeting),
         }
         actix_rt::time::sleep(jitter(wait)).await;
         wait = (wait * 2).min(policy.redial_last);
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -369,7 +369,9 @@
         redial_first: ms = 50, 1..=60_000;
         /// The longest wait between them.
         redial_last: ms = 300, 1..=60_000;
-        /// How long connecting and the exchange of greetings may take.
+        /// How long the first try to connect may take: a machine that has just come up never sees one that was made before. It doubles with each that fails.
+        connect_first: ms = 60, 1..=60_000;
+        /// How long the last tries to connect may take, and the exchange of greetings.
         greeting: ms = 400, 1..=60_000;
         /// Of two schedulers that know each other, one has so long to connect first.
         yield_for: ms = 60, 0..=60_000;
@@ -457,6 +459,9 @@
                 "must not be above `trial_last_ms`",
             );
         }
+        if self.links.connect_first > self.links.greeting {
+            findings.add("/links/connect_first_ms", "must not be above `greeting_ms`");
+        }
         if self.links.redial_first > self.links.redial_last {
             findings.add(
                 "/links/redial_first_ms",
