executor: the lists are read at once after a confirmed stop; an order's patience can be set

Change: a hold that is sent while a confirmed stop awaits the lists does not wait at the worker; orders.answer_ms and orders.hold_extra_ms are settings.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -391,10 +391,7 @@
         };
         let (life, seen) = (worker.beat.life.clone(), worker.seen);
         let (deadline_ms, wait) = if worker.clean && worker.answers {
-            (
-                self.deadline(now, self.setup.worker_hold),
-                self.setup.policy.orders.hold_wait,
-            )
+            (self.deadline(now, self.setup.worker_hold), self.hold_wait())
         } else {
             (0, Duration::ZERO)
         };
@@ -407,6 +404,16 @@
         });
     }
 
+    /// How long the worker may wait before it answers. Where a stop is confirmed, its lists tell
+    /// that a run is gone, and the room for the next one must not wait for that.
+    fn hold_wait(&self) -> Duration {
+        let awaited = |run: &Run| matches!(run.state, RunState::Stopping { confirmed: Some(holds), .. } if self.holds == holds);
+        if self.runs.values().any(awaited) {
+            return Duration::ZERO;
+        }
+        self.setup.policy.orders.hold_wait
+    }
+
     /// Reads the lists of a worker that has not said anything yet, so that claims need not wait for
     /// its first heartbeat. The fencing token keeps late orders of an earlier executor from
     /// starting anything after that.
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -275,6 +275,10 @@
     Orders ("orders") {
         /// A hold waits this long at the worker. When its answer is lost, ends go unread for about twice as long.
         hold_wait: ms = 25, 0..=2000;
+        /// An order that has got no answer for so long counts as unanswered. The worker is on the same machine and answers within a few.
+        answer: ms = 40, 1..=60_000;
+        /// How much longer than asked for the answer to a hold may take.
+        hold_extra: ms = 20, 0..=60_000;
         /// A start must begin within this time on the worker's clock.
         start_within: ms = 500, 1..=60_000;
         /// A stop that got no answer is sent again after this long.
