scheduler: the id of a caller's call is logged where its job comes in

Cause: a caller who complains names the call by its Request-Id; no log line held it, only the job's id, so the walk from a request to its cause could not begin.

--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -202,6 +202,9 @@
     pub steps: Vec<Step>,
     /// How long its caller waits, in milliseconds; 0 if not said.
     pub patience_ms: u64,
+    /// The id that the caller has given this call, for the logs; empty for none. A job that is
+    /// handed in again comes with another one.
+    pub call: Rc<str>,
 }
 
 /// Why a job's steps can not be carried out by anybody.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -305,7 +305,10 @@
             following.callers.push(caller);
             return;
         }
-        self.log(Kind::JobFollowed, format!("{number} at {peer_name}"));
+        self.log(
+            Kind::JobFollowed,
+            format!("{number} at {peer_name} request {}", request.call),
+        );
         if let Some(peer) = self.peers.get_mut(peer_name) {
             peer.out.follow.push(number.0);
         }
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -23,10 +23,15 @@
         if let Some(job) = self.jobs.get_mut(&number) {
             job.callers.push(caller);
             self.counts.joined += 1;
-            return;
+            return self.log(
+                Kind::JobJoined,
+                format!("{number} request {}: held", request.call),
+            );
         }
         if let Some(outcome) = self.known_outcome(number) {
             self.counts.joined += 1;
+            let (call, word) = (&request.call, outcome.word());
+            self.log(Kind::JobJoined, format!("{number} request {call}: {word}"));
             self.actions.push(Action::Answer(caller, outcome));
             return;
         }
@@ -54,7 +59,7 @@
         }
         let queue = self.catalog.as_ref().and_then(|c| c.queue(&request.queue));
         let Some(queue) = queue else {
-            return self.refuse_unheld(caller, number, "no-queue");
+            return self.refuse_unheld(caller, &request, "no-queue");
         };
         let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
         let mut job = Job::new(
@@ -65,17 +70,18 @@
             &self.setup.policy.admission,
         );
         if self.ends_too_late(&job) {
-            return self.refuse_unheld(caller, number, "leaving");
+            return self.refuse_unheld(caller, &job.request, "leaving");
         }
         self.last_taken = self.now;
         job.callers.push(caller);
         job.renewed = self.ended.get(&number).is_some_and(|e| e.began);
         let claim = claim || job.renewed;
         let detail = format!(
-            "{number} queue {} tasks {} objective in {} ms",
+            "{number} queue {} tasks {} objective in {} ms request {}",
             queue.name,
             job.left,
             crate::clock::millis(self.now.until(job.objective_at)),
+            job.request.call,
         );
         self.log(Kind::JobTaken, detail);
         self.jobs.insert(number, job);
@@ -87,11 +93,12 @@
         }
     }
 
-    fn refuse_unheld(&mut self, caller: CallerId, number: JobNumber, cause: &'static str) {
+    fn refuse_unheld(&mut self, caller: CallerId, request: &JobRequest, cause: &'static str) {
         let outcome = self.refusal();
         self.count_cause(cause);
         self.count_outcome(outcome);
-        self.log(Kind::JobRefused, format!("{number} {cause}"));
+        let (number, call) = (request.number, &request.call);
+        self.log(Kind::JobRefused, format!("{number} {cause} request {call}"));
         self.actions.push(Action::Answer(caller, outcome));
     }
 
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -82,6 +82,7 @@
     JobFollowed = 404, Info, "a job that came again is followed at another scheduler";
     JobClaimed = 405, Info, "a job is claimed at the executors before it runs";
     TasksPlaced = 406, Info, "tasks of a job were sent to an executor";
+    JobJoined = 407, Info, "a job came again and is answered with the one that is held or has ended here";
     TaskAgain = 410, Info, "a task is to be placed again";
     TaskMoved = 411, Info, "a run goes slowly and is stopped, to run elsewhere";
     WorkerUp = 420, Info, "a worker has registered";
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler: jobs that come, wait, come again and end.
 
+mod call_ids;
 mod slow;
 
 use std::rc::Rc;
@@ -188,6 +189,7 @@
                 ..Step::default()
             }],
             patience_ms: 3000,
+            call: Rc::default(),
         };
         self.scheduler.submit(self.now, CallerId(caller), request);
         self.take();
--- a/lib/testutils/src/dispatch/callers.rs
+++ b/lib/testutils/src/dispatch/callers.rs
@@ -133,6 +133,7 @@
             spec: Rc::from("work"),
             steps: vec![step],
             patience_ms: rng.random_range(2000..5000),
+            call: Rc::default(),
         };
         let open = OpenJob {
             request,
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -212,6 +212,7 @@
             ..Step::default()
         }],
         patience_ms: 4000,
+        call: Rc::default(),
     };
     let work = works.iter().sum::<u64>() as f64 / 1e6 * f64::from(cpu_milli) / 1000.0;
     world.callers.jobs.insert(
