--- /dev/null
+++ b/lib/tests/runner/test_executor/worker.rs
@@ -0,0 +1,158 @@
+//! What an executor makes of its worker: draining, silence, failures, new lives.
+
+use super::*;
+
+#[test]
+fn test_executor_gives_nothing_to_a_draining_worker() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0, 1]);
+    bench.pass(95);
+    bench.lists_at(95, &[run(1, 0, 1), run(1, 1, 1)], Vec::new());
+    bench.start(ONE, 1, &[2]);
+    assert_eq!(
+        bench.ends(ONE),
+        [],
+        "it waits for a run that is about to end"
+    );
+    bench.beat("w1", true, 2);
+    assert_eq!(
+        bench.ends(ONE),
+        [(1, EndKind::Unavailable)],
+        "what waited goes back"
+    );
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 2);
+    assert_eq!(bench.ends(ONE).len(), 2);
+}
+
+#[test]
+fn test_executor_tells_of_a_worker_that_drains_when_it_is_met() {
+    let mut bench = Bench::new();
+    bench.beat("w1", true, 1);
+    let told = |a: &Action| matches!(a, Action::Log(e) if e.kind == Kind::WorkerDraining);
+    assert!(bench.actions.iter().any(told));
+}
+
+#[test]
+fn test_executor_survives_a_single_lost_answer_of_a_hold() {
+    let mut bench = Bench::ready();
+    bench.held(HoldReply::NoAnswer);
+    bench.start(ONE, 1, &[0]);
+    assert_eq!(bench.started(), [run(1, 0, 1)]);
+    bench.pass(250);
+    bench.held(HoldReply::NoAnswer);
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 1, "now it counts as silent");
+}
+
+#[test]
+fn test_executor_does_not_ask_a_worker_that_resets_without_pause() {
+    let mut bench = Bench::ready();
+    let before = bench.holds();
+    let mut answered = 0;
+    for _ in 0..2000 {
+        if bench.holds() > answered {
+            answered = bench.holds();
+            bench.held(HoldReply::NoAnswer);
+        }
+        bench.pass(1);
+    }
+    let asked = bench.holds() - before;
+    assert!(
+        asked <= 60,
+        "{asked} holds in two seconds, each a connection"
+    );
+    assert!(
+        asked >= 20,
+        "{asked} holds: it would be found late when it is back"
+    );
+}
+
+#[test]
+fn test_executor_does_not_forget_runs_that_a_start_has_kept_alive() {
+    let mut bench = Bench::ready();
+    bench.held(HoldReply::NoAnswer);
+    bench.now = bench.now + Duration::from_millis(3000);
+    bench.link(ONE, "one");
+    bench.start(ONE, 1, &[0]);
+    assert_eq!(bench.started(), [run(1, 0, 1)]);
+    bench.held(HoldReply::NoAnswer);
+    bench.pass(20);
+    assert_eq!(bench.ends(ONE), [], "the start keeps it alive for a while");
+    for _ in 0..15 {
+        bench.orders(ONE, proto::Orders::default());
+        bench.pass(20);
+        bench.held(HoldReply::NoAnswer);
+    }
+    assert_eq!(bench.ends(ONE), []);
+    for _ in 0..60 {
+        bench.orders(ONE, proto::Orders::default());
+        bench.pass(20);
+        bench.held(HoldReply::NoAnswer);
+    }
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Lost)]);
+}
+
+#[test]
+fn test_executor_sees_soon_that_a_slow_worker_is_well_again() {
+    let mut bench = Bench::ready();
+    let times = [600, 600, 100, 100, 100, 100];
+    for (job, ms) in times.into_iter().enumerate() {
+        let name = run(job as u64 + 1, 0, 1);
+        bench.start(ONE, name.task.job.0, &[0]);
+        for _ in 0..ms / 50 {
+            bench.pass(50);
+            bench.orders(ONE, proto::Orders::default());
+            bench.lists(&[name], Vec::new());
+        }
+        let end = finished(job as u64 + 1, name, WorkerEnd::Done);
+        bench.lists(&[], vec![end]);
+    }
+    let last = bench.updates(ONE).pop().expect("an update");
+    let pace = last.worker.expect("it reports").pace_percent;
+    assert!(pace < 190, "{pace} % of the estimate");
+}
+
+#[test]
+fn test_executor_trials_back_off() {
+    let mut bench = Bench::ready();
+    let mut tries = Vec::new();
+    let mut number = 0;
+    for step in 0..1200u64 {
+        bench.pass(10);
+        bench.orders(ONE, proto::Orders::default());
+        if step % 10 != 0 {
+            continue;
+        }
+        bench.start(ONE, step + 1, &[0]);
+        let begun = run(step + 1, 0, 1);
+        if bench.started().last() == Some(&begun) {
+            tries.push(step * 10);
+            number += 1;
+            bench
+                .executor
+                .started(bench.now, begun, OrderReply::Done(1));
+            bench.lists(&[], vec![finished(number, begun, WorkerEnd::Failed)]);
+        } else {
+            bench.lists(&[], Vec::new());
+        }
+    }
+    let gaps: Vec<u64> = tries.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(
+        gaps[..2].iter().all(|g| *g <= 100),
+        "healthy at first: {gaps:?}"
+    );
+    assert!(*gaps.last().expect("some trials") >= 3000, "{gaps:?}");
+}
+
+#[test]
+fn test_executor_begins_anew_with_a_new_life_of_its_worker() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.beat("w2", false, 1);
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Lost)]);
+    assert_matches!(bench.actions.last(), Some(_));
+}
--- /dev/null
+++ b/lib/tests/runner/test_scheduler/claims.rs
@@ -0,0 +1,285 @@
+//! Claims: jobs that may be at work elsewhere, peers that have them, schedulers that have just started.
+
+use super::*;
+
+#[test]
+fn test_scheduler_claims_a_job_before_it_runs_again_after_it_was_given_up() {
+    let mut bench = Bench::ready();
+    bench.submit(1, 7, 1);
+    bench
+        .scheduler
+        .caller_left(bench.now, CallerId(1), JobNumber(7));
+    bench.take();
+    bench.actions.clear();
+    bench.submit(2, 7, 1);
+    bench.pass(20);
+    assert_eq!(bench.starts(), [], "the earlier run may not have ended");
+    assert!(bench.orders().iter().any(|o| o.renewals == [7]));
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_follows_a_job_that_a_peer_has() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        jobs: vec![7],
+        ..proto::PeerUpdate::default()
+    });
+    bench.submit(1, 7, 1);
+    assert_eq!(bench.starts(), []);
+    let outcome = JobOutcome::Completed.code();
+    bench.peer(proto::PeerUpdate {
+        ends: vec![proto::JobEnd { job: 7, outcome }],
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+}
+
+#[test]
+fn test_scheduler_follows_the_peer_at_work_after_another_one_gave_up() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.link(OTHER_PEER, "s3", false);
+    bench.announce_on(PEER, 7);
+    bench.announce_on(OTHER_PEER, 7);
+    bench.submit(1, 7, 1);
+    bench.end_on(OTHER_PEER, 7, JobOutcome::Unknown);
+    bench.pass(20);
+    assert_eq!(bench.starts(), [], "s2 has it");
+    assert!(bench.orders().iter().all(|o| o.claims.is_empty()));
+    bench.end_on(PEER, 7, JobOutcome::Completed);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+}
+
+#[test]
+fn test_scheduler_does_not_claim_a_job_from_a_peer_that_is_back() {
+    let mut bench = Bench::ready();
+    let roster = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
+    bench.link(PEER, "s2", false);
+    bench.announce_on(PEER, 7);
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit_of(1, 7, 1, 900);
+    bench.link(PEER, "s2", false);
+    bench.announce_on(PEER, 7);
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    bench.pass(20);
+    assert_eq!(bench.starts(), [], "s2 may run it at e2, out of reach");
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
+
+#[test]
+fn test_scheduler_claims_a_job_of_a_peer_that_is_away() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        jobs: vec![7],
+        ..proto::PeerUpdate::default()
+    });
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit(1, 7, 1);
+    bench.pass(20);
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+    assert_eq!(bench.starts(), [], "the peer may not have noticed yet");
+    for _ in 0..70 {
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    // By then the job can't be in time any more and is turned away without a start.
+    assert_eq!(bench.starts(), []);
+    assert_eq!(bench.answers().len(), 1);
+}
+
+#[test]
+fn test_scheduler_doubts_new_jobs_while_an_executor_hears_a_peer_it_can_not_hear() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..50 {
+        bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+        bench.pass(20);
+    }
+    bench.submit(1, 7, 1);
+    bench.pass(20);
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    assert_eq!(bench.starts(), []);
+}
+
+/// A scheduler that has just started: one executor hears a peer that is not met yet, another one
+/// has been met and lost again. A job has come in.
+fn young_in_doubt() -> Bench {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+    bench.pass(20);
+    bench.submit_of(1, 7, 1, 900);
+    bench
+}
+
+fn confirm_on(bench: &mut Bench, link: LinkId) {
+    let update = proto::Update {
+        claimed: vec![7],
+        profile: Some(profile(vec!["s1".to_owned(), "s2".to_owned()])),
+        ..proto::Update::default()
+    };
+    bench.update_on(link, update);
+}
+
+#[test]
+fn test_scheduler_that_is_young_waits_until_it_has_met_its_peers() {
+    let mut bench = young_in_doubt();
+    assert_eq!(bench.answers(), [], "it is too early to give up");
+    let roster = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
+    bench.link(PEER, "s2", false);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    confirm_on(&mut bench, EXECUTOR);
+    confirm_on(&mut bench, OTHER_EXECUTOR);
+    for _ in 0..20 {
+        bench.pass(20);
+        bench.peer(proto::PeerUpdate::default());
+        bench.update_on(OTHER_EXECUTOR, proto::Update::default());
+        bench.report(Vec::new());
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_was_young_does_not_start_what_it_can_not_claim() {
+    let mut bench = young_in_doubt();
+    for _ in 0..80 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "the other executor may run it for s2");
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
+
+/// A scheduler without peers that has just started, with a job that the one executor it has met
+/// has confirmed.
+fn young_with_roster(names: &[&str]) -> Bench {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    let names = names.iter().map(|n| (*n).to_owned()).collect();
+    bench.scheduler.set_roster(bench.now, names);
+    bench.submit_of(1, 7, 1, 2000);
+    bench.report(Vec::new());
+    for _ in 0..25 {
+        bench.update(proto::Update {
+            claimed: vec![7],
+            ..proto::Update::default()
+        });
+        bench.pass(20);
+    }
+    bench
+}
+
+#[test]
+fn test_scheduler_that_is_young_starts_once_it_has_met_all_executors() {
+    let bench = young_with_roster(&["e1"]);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_is_young_waits_for_an_executor_it_has_not_met() {
+    let mut bench = young_with_roster(&["e1", "e2"]);
+    assert_eq!(bench.starts(), [], "what e2 had started may still run");
+    for _ in 0..45 {
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)], "by now it has ended by itself");
+}
+
+#[test]
+fn test_scheduler_does_not_claim_past_an_executor_it_never_met() {
+    let mut bench = Bench::ready();
+    let roster = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
+    bench.link(PEER, "s2", false);
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..2000 {
+        bench.report(vec!["s1".to_owned(), "s2".to_owned()]);
+        bench.pass(20);
+    }
+    bench.submit(1, 7, 1);
+    assert_eq!(bench.starts(), []);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
+
+#[test]
+fn test_scheduler_that_was_young_waits_for_all_while_a_peer_may_be_at_work() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.submit_of(1, 7, 1, 2000);
+    for _ in 0..75 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.update_on(OTHER_EXECUTOR, proto::Update::default());
+        bench.pass(20);
+    }
+    assert_eq!(
+        bench.starts(),
+        [],
+        "e2 has not confirmed, and s2 is unheard"
+    );
+    confirm_on(&mut bench, OTHER_EXECUTOR);
+    bench.pass(20);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_was_paused_doubts_new_jobs() {
+    let mut bench = Bench::ready();
+    bench.pass(2400);
+    bench.submit(1, 7, 1);
+    bench.link(EXECUTOR, "e1", true);
+    bench.report(Vec::new());
+    bench.pass(20);
+    assert_eq!(bench.starts(), [], "a peer may have it since the pause");
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+}
+
+#[test]
+fn test_scheduler_that_is_young_claims_anew_after_a_pause() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(PEER, "s2", false);
+    let roster = vec!["e1".to_owned()];
+    bench.scheduler.set_roster(bench.now, roster);
+    bench.submit_of(1, 7, 1, 2000);
+    bench.actions.clear();
+    bench.pass(2400);
+    bench.link(PEER, "s2", false);
+    bench.link(EXECUTOR, "e1", true);
+    for _ in 0..5 {
+        bench.peer(proto::PeerUpdate::default());
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "the peer may have it by now");
+    assert!(bench.orders().iter().any(|o| o.claims == [7]));
+    for _ in 0..22 {
+        bench.peer(proto::PeerUpdate::default());
+        bench.update(proto::Update {
+            claimed: vec![7],
+            ..proto::Update::default()
+        });
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -1,15 +1,43 @@
-//! Goodput of the dispatch plane over load, on a virtual clock.
+//! Goodput of the dispatch plane over load, on a virtual clock, under any policy.
 
+use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use serde_json::Value;
+use stackcourse_lib::dispatch::policy::Policy;
+use stackcourse_lib::findings::Findings;
 use stackcourse_testutils::dispatch::load;
+use stackcourse_testutils::dispatch::load::KindReport;
 use stackcourse_testutils::dispatch::load::LoadPlan;
+use stackcourse_testutils::dispatch::load::LoadReport;
 
-fn main() {
-    let matches = Command::new("dispatch-load")
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let policy = match policy(&matches) {
+        Ok(policy) => policy,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let loads = matches.get_one::<String>("loads").expect("a default");
+    println!("load  goodput (sd)  in time, late, refused of each kind in percent");
+    for load in loads.split(',').filter_map(|l| l.parse().ok()) {
+        let reports: Vec<LoadReport> = plans(&matches, load, policy).map(load::run).collect();
+        print_line(load, &reports);
+    }
+    ExitCode::SUCCESS
+}
+
+fn command() -> Command {
+    let late = "Orders of a hundred that are carried out late";
+    let slow = "Workers that take five times as long in the middle half of the run";
+    Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
         .arg(
             Arg::new("loads")
@@ -20,33 +48,17 @@
         .arg(number("seconds", "10", "Virtual seconds of each run"))
         .arg(number("schedulers", "3", "Schedulers that share the load"))
         .arg(number("workers", "11", "Workers"))
-        .arg(number("seed", "1", "The seed"))
-        .arg(number(
-            "late",
-            "0",
-            "Orders of a hundred that are carried out late",
-        ))
-        .get_matches();
-    let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
-    let loads = matches.get_one::<String>("loads").expect("a default");
-    println!("load  goodput  in time, late, refused of each kind in percent");
-    for load in loads.split(',').filter_map(|l| l.parse().ok()) {
-        let report = load::run(LoadPlan {
-            seed: value("seed"),
-            load,
-            span: Duration::from_secs(value("seconds")),
-            schedulers: value("schedulers") as usize,
-            workers: value("workers") as usize,
-            late: value("late") as f64 / 100.0,
-        });
-        print!("{load:4.2}  {:7.3} ", report.goodput());
-        for (kind, k) in load::KINDS.iter().zip(&report.kinds) {
-            let share = |n: u64| 100.0 * n as f64 / k.offered.max(1) as f64;
-            let (in_time, late, refused) = (share(k.in_time), share(k.late), share(k.refused));
-            print!(" {}: {in_time:5.1} {late:5.1} {refused:5.1} ", kind.name);
-        }
-        println!("{}", report.violation.unwrap_or_default());
-    }
+        .arg(number("seed", "1", "The first seed"))
+        .arg(number("seeds", "1", "How many seeds"))
+        .arg(number("late", "0", late))
+        .arg(number("slow", "0", slow))
+        .arg(
+            Arg::new("set")
+                .long("set")
+                .value_name("SECTION.FIELD=VALUE")
+                .action(ArgAction::Append)
+                .help("Sets a field of the policy, as in docs/SETTINGS.md; may be repeated"),
+        )
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -56,3 +68,67 @@
         .value_parser(value_parser!(u64))
         .help(help)
 }
+
+fn value(matches: &ArgMatches, name: &str) -> u64 {
+    *matches.get_one::<u64>(name).expect("it has a default")
+}
+
+/// The policy with the fields that were set; what is wrong with them otherwise.
+fn policy(matches: &ArgMatches) -> Result<Policy, String> {
+    let mut document = serde_json::json!({});
+    for field in matches.get_many::<String>("set").into_iter().flatten() {
+        let (name, text) = field
+            .split_once('=')
+            .ok_or(format!("{field}: no `=` in it"))?;
+        let (section, key) = name
+            .split_once('.')
+            .ok_or(format!("{name}: no `.` in it"))?;
+        let parsed = serde_json::from_str::<Value>(text);
+        document[section][key] = parsed.map_err(|e| format!("{name}: {e}"))?;
+    }
+    let mut findings = Findings::new("--set");
+    let policy = Policy::read(&document, &mut findings);
+    let lines: Vec<String> = findings.into_list().iter().map(|f| f.to_string()).collect();
+    if lines.is_empty() {
+        Ok(policy)
+    } else {
+        Err(lines.join("\n"))
+    }
+}
+
+fn plans(matches: &ArgMatches, load: f64, policy: Policy) -> impl Iterator<Item = LoadPlan> {
+    let first = value(matches, "seed");
+    let plan = LoadPlan {
+        seed: first,
+        load,
+        span: Duration::from_secs(value(matches, "seconds")),
+        schedulers: value(matches, "schedulers") as usize,
+        workers: value(matches, "workers") as usize,
+        late: value(matches, "late") as f64 / 100.0,
+        slow: value(matches, "slow") as usize,
+        policy,
+    };
+    let seeds = first..first + value(matches, "seeds").max(1);
+    seeds.map(move |seed| LoadPlan { seed, ..plan })
+}
+
+fn print_line(load: f64, reports: &[LoadReport]) {
+    let count = reports.len() as f64;
+    let mean = reports.iter().map(LoadReport::goodput).sum::<f64>() / count;
+    let squares = reports.iter().map(|r| (r.goodput() - mean).powi(2));
+    let spread = (squares.sum::<f64>() / count).sqrt();
+    print!("{load:4.2}  {mean:7.3} ({spread:.3}) ");
+    for (number, kind) in load::KINDS.iter().enumerate() {
+        let kinds: Vec<KindReport> = reports.iter().map(|r| r.kinds[number]).collect();
+        let offered: u64 = kinds.iter().map(|k| k.offered).sum();
+        let share = |of: fn(&KindReport) -> u64| {
+            let sum: u64 = kinds.iter().map(of).sum();
+            100.0 * sum as f64 / offered.max(1) as f64
+        };
+        let (in_time, late) = (share(|k| k.in_time), share(|k| k.late));
+        let refused = share(|k| k.refused);
+        print!(" {}: {in_time:5.1} {late:5.1} {refused:5.1} ", kind.name);
+    }
+    let broken = reports.iter().find_map(|r| r.violation.clone());
+    println!("{}", broken.unwrap_or_default());
+}
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -11,6 +11,7 @@
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::model::JobRequest;
 use stackcourse_lib::dispatch::model::Step;
+use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::prelude::Duration;
 
 use crate::dispatch::callers::OpenJob;
@@ -67,6 +68,8 @@
 const OBJECTIVE_MS: u32 = 60;
 const MEAN_CPU: f64 = 1600.0;
 const SPEEDS: [f64; 3] = [0.8, 1.0, 1.25];
+/// How many times as long a slow worker takes.
+pub const SLOW_PACE: f64 = 5.0;
 const SIZES: [u32; 3] = [16_000, 16_000, 24_000];
 
 /// What to run.
@@ -84,6 +87,10 @@
     pub workers: usize,
     /// The share of orders to workers that are carried out late.
     pub late: f64,
+    /// How many workers take [`SLOW_PACE`] times as long in the middle half of the span.
+    pub slow: usize,
+    /// The figures that decide.
+    pub policy: Policy,
 }
 
 /// What became of the jobs of one kind.
@@ -146,28 +153,51 @@
 
 /// Runs a plan.
 pub fn run(plan: LoadPlan) -> LoadReport {
-    let mut world = World::with_catalog(plan.seed, plan.schedulers, plan.workers, catalog());
+    let mut world = World::with_policy(
+        plan.seed,
+        plan.schedulers,
+        plan.workers,
+        catalog(),
+        plan.policy,
+    );
     for number in 0..plan.workers {
         world.workers[number].capacity = SIZES[number % 3];
-        world.workers[number].pace = 1.0 / SPEEDS[number % 3];
     }
+    set_paces(&mut world, &plan, false);
     world.run(Duration::from_secs(4));
     world.late = plan.late;
     let mean: f64 = KINDS.iter().map(mean_work).sum::<f64>() / 100.0;
     let room = |n: usize| f64::from(SIZES[n % 3]) / 1000.0 * SPEEDS[n % 3];
     let capacity: f64 = (0..plan.workers).map(room).sum();
     let per_s = plan.load * capacity / mean;
-    let end = world.now + plan.span.as_micros() as u64;
+    let begin = world.now;
+    let span = plan.span.as_micros() as u64;
+    let end = begin + span;
     let mut offered = Vec::new();
     while world.now < end {
         let gap = -world.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / per_s;
         world.run(Duration::from_secs_f64(gap));
+        let middle = begin + span / 4..begin + span * 3 / 4;
+        let slow = middle.contains(&world.now);
+        set_paces(&mut world, &plan, slow);
         offered.push(offer(&mut world, plan.schedulers));
     }
     world.run(Duration::from_secs(6));
     report(&world, &offered)
 }
 
+/// Gives each worker its speed; the slow ones are slow now or not.
+fn set_paces(world: &mut World, plan: &LoadPlan, slow: bool) {
+    for number in 0..plan.workers {
+        let factor = if slow && number < plan.slow {
+            SLOW_PACE
+        } else {
+            1.0
+        };
+        world.workers[number].pace = factor / SPEEDS[number % 3];
+    }
+}
+
 /// The mean work of a kind's jobs, in core-seconds, times its share.
 fn mean_work(kind: &Kind) -> f64 {
     kind.share * kind.width * kind.work_ms / 1000.0 * MEAN_CPU / 1000.0
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -2,6 +2,7 @@
 
 mod at_workers;
 mod links;
+mod lives;
 
 use std::collections::BTreeMap;
 
@@ -117,6 +118,8 @@
     pub steps: u64,
     /// What callers were told, and when.
     pub answers: Vec<(u64, JobNumber, JobOutcome)>,
+    /// The figures that decide.
+    pub policy: Policy,
     /// Whether log lines and what happens at the workers are printed.
     pub trace: bool,
     schedulers: Vec<SchedulerNode>,
@@ -131,12 +134,20 @@
 impl World {
     /// A world in which everything has just come up.
     pub fn new(seed: u64, schedulers: usize, executors: usize) -> World {
-        World::with_catalog(seed, schedulers, executors, Callers::default().catalog)
+        let catalog = Callers::default().catalog;
+        World::with_policy(seed, schedulers, executors, catalog, Policy::default())
     }
 
-    /// The same, with a catalog.
-    pub fn with_catalog(seed: u64, schedulers: usize, executors: usize, catalog: Catalog) -> World {
+    /// The same, with a catalog and a policy.
+    pub fn with_policy(
+        seed: u64,
+        schedulers: usize,
+        executors: usize,
+        catalog: Catalog,
+        policy: Policy,
+    ) -> World {
         let mut world = World {
+            policy,
             now: 10_000_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
             witness: Witness::default(),
@@ -180,85 +191,6 @@
         schedulers.chain(executors).collect()
     }
 
-    fn new_life(&mut self) -> u64 {
-        self.lives += 1;
-        self.lives
-    }
-
-    fn new_executor(&mut self, number: usize) -> ExecutorNode {
-        let life = self.new_life();
-        let skew = self.rng.random_range(0..1_000_000_000);
-        let setup = ExecutorSetup {
-            started: Mono(self.now + skew),
-            name: executor_name(number),
-            zone: "z".to_owned(),
-            incarnation: life,
-            fence: life * 1000,
-            lease: Duration::from_millis(700),
-            worker_hold: Duration::from_millis(550),
-            policy: Policy::default(),
-        };
-        ExecutorNode {
-            executor: Executor::new(setup),
-            up: true,
-            life,
-            skew,
-            frozen_until: 0,
-        }
-    }
-
-    fn new_scheduler(&mut self, number: usize) -> SchedulerNode {
-        let life = self.new_life();
-        let skew = self.rng.random_range(0..1_000_000_000);
-        let setup = SchedulerSetup {
-            name: format!("scheduler-{number}"),
-            zone: "z".to_owned(),
-            address: format!("s:{number}"),
-            incarnation: life,
-            silence: Duration::from_millis(700),
-            lapse: Duration::from_millis(1300),
-            started: Mono(self.now + skew),
-            seed: life,
-            policy: Policy::default(),
-        };
-        let mut scheduler = Scheduler::new(setup);
-        scheduler.set_catalog(Mono(self.now + skew), self.callers.catalog.clone());
-        SchedulerNode {
-            scheduler,
-            up: true,
-            life,
-            skew,
-            frozen_until: 0,
-        }
-    }
-
-    /// A process begins to tick, and to connect to the schedulers.
-    fn begin(&mut self, node: Node) {
-        let life = self.life(node);
-        self.at(100, Due::Tick(node, life));
-        if let Node::Scheduler(number) = node {
-            self.at(ROSTER_US, Due::Roster(number, life));
-        }
-        if let Node::Executor(number) = node {
-            self.at(RECALL_US, Due::Recall(number, life));
-        }
-        for number in 0..self.schedulers.len() {
-            let to = Node::Scheduler(number);
-            if to != node {
-                let wait = self.rng.random_range(0..20_000);
-                self.at(wait, Due::Dial(node, to, life));
-            }
-        }
-    }
-
-    /// A scheduler that has started has read from the store which executors there are.
-    fn tell_roster(&mut self, n: usize, life: u64) {
-        if self.life(Node::Scheduler(n)) == life {
-            let names = (0..self.executors.len()).map(executor_name).collect();
-            self.with_scheduler(n, |s, now| s.set_roster(now, names));
-        }
-    }
-
     fn at(&mut self, wait: u64, due: Due) {
         self.sequence += 1;
         self.due.insert((self.now + wait, self.sequence), due);
@@ -419,12 +351,6 @@
         }
     }
 
-    fn recall(&mut self, n: usize, life: u64) {
-        if let Some(beat) = self.kept[n].clone() {
-            self.with_executor(n, life, |e, now| e.recall(now, beat));
-        }
-    }
-
     /// Prints a line if the world is traced.
     pub fn print(&self, node: Node, text: &str) {
         if self.trace {
--- /dev/null
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -0,0 +1,91 @@
+//! How processes of the world begin.
+
+use super::*;
+
+impl World {
+    pub(super) fn new_life(&mut self) -> u64 {
+        self.lives += 1;
+        self.lives
+    }
+
+    pub(super) fn new_executor(&mut self, number: usize) -> ExecutorNode {
+        let life = self.new_life();
+        let skew = self.rng.random_range(0..1_000_000_000);
+        let setup = ExecutorSetup {
+            started: Mono(self.now + skew),
+            name: executor_name(number),
+            zone: "z".to_owned(),
+            incarnation: life,
+            fence: life * 1000,
+            lease: self.policy.leases.lease,
+            worker_hold: self.policy.leases.worker_hold,
+            policy: self.policy,
+        };
+        ExecutorNode {
+            executor: Executor::new(setup),
+            up: true,
+            life,
+            skew,
+            frozen_until: 0,
+        }
+    }
+
+    pub(super) fn new_scheduler(&mut self, number: usize) -> SchedulerNode {
+        let life = self.new_life();
+        let skew = self.rng.random_range(0..1_000_000_000);
+        let setup = SchedulerSetup {
+            name: format!("scheduler-{number}"),
+            zone: "z".to_owned(),
+            address: format!("s:{number}"),
+            incarnation: life,
+            silence: self.policy.leases.silence,
+            lapse: self.policy.leases.lapse,
+            started: Mono(self.now + skew),
+            seed: life,
+            policy: self.policy,
+        };
+        let mut scheduler = Scheduler::new(setup);
+        scheduler.set_catalog(Mono(self.now + skew), self.callers.catalog.clone());
+        SchedulerNode {
+            scheduler,
+            up: true,
+            life,
+            skew,
+            frozen_until: 0,
+        }
+    }
+
+    /// A process begins to tick, and to connect to the schedulers.
+    pub(super) fn begin(&mut self, node: Node) {
+        let life = self.life(node);
+        self.at(100, Due::Tick(node, life));
+        if let Node::Scheduler(number) = node {
+            self.at(ROSTER_US, Due::Roster(number, life));
+        }
+        if let Node::Executor(number) = node {
+            self.at(RECALL_US, Due::Recall(number, life));
+        }
+        for number in 0..self.schedulers.len() {
+            let to = Node::Scheduler(number);
+            if to != node {
+                let wait = self.rng.random_range(0..20_000);
+                self.at(wait, Due::Dial(node, to, life));
+            }
+        }
+    }
+
+    /// A scheduler that has started has read from the store which executors there are.
+    pub(super) fn tell_roster(&mut self, n: usize, life: u64) {
+        if self.life(Node::Scheduler(n)) == life {
+            let names = (0..self.executors.len()).map(executor_name).collect();
+            self.with_scheduler(n, |s, now| s.set_roster(now, names));
+        }
+    }
+
+    /// An executor has read what its earlier life has left in the store.
+    pub(super) fn recall(&mut self, n: usize, life: u64) {
+        if let Some(beat) = self.kept[n].clone() {
+            self.with_executor(n, life, |e, now| e.recall(now, beat));
+        }
+    }
+}
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -1,4 +1,5 @@
 //! The randomised runs, with fixed seeds.
 
+mod test_dispatch_load;
 mod test_dispatch_run;
 mod test_random_run;
