scheduler: new jobs are claimed for half a second after the link to a peer broke

Change: for 500 ms after a link to a peer broke that had been heard just before, new jobs are claimed; they begin once all known executors have confirmed, the peer itself is not waited for. A peer that said that it leaves raises no doubt. Tests: test_scheduler_claims_new_jobs_after_the_link_to_a_peer_was_lost failed before. Open: a caller whose connection alone breaks and who comes again within 15 ms at another entry is still not covered.

--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -321,6 +321,8 @@
         meeting: ms = 100, 0..=60_000;
         /// A peer that has not been heard for so long may have jobs that were not announced here.
         unheard: ms = 600, 1..=60_000;
+        /// A peer whose link was lost within this time may have taken jobs that it could not announce; a caller whose connection broke with the link comes again within 50 ms. Ten times that.
+        link_lost: ms = 500, 0..=60_000;
         /// A job may be handed in again elsewhere after so long at the earliest. Below the users' 1,300 ms.
         again_after: ms = 1200, 1..=60_000;
         /// A scheduler that has started or come back within this time may have had jobs in its life before.
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -42,7 +42,7 @@
     /// heard for so long that a job of its may come again here without having been announced.
     pub(super) fn in_doubt(&self) -> bool {
         let now = self.now;
-        if self.is_young() {
+        if self.is_young() || self.has_lost_a_link() {
             return true;
         }
         let bound = self.setup.policy.claims.unheard;
@@ -50,6 +50,14 @@
         self.doubtful.iter().any(unheard) || self.is_minority()
     }
 
+    /// Whether the link to a peer was lost only just now. What it had to announce went with the
+    /// link, and what it has ended since is not listed on the next one.
+    fn has_lost_a_link(&self) -> bool {
+        let bound = self.setup.policy.claims.link_lost;
+        let recent = |p: &Peer| p.lost.is_some_and(|at| self.now.since(at) < bound);
+        self.peers.values().any(recent)
+    }
+
     /// Whether peers can't be heard, and neither can half of the executors: then it can't be known
     /// here whether those peers are at work.
     fn is_minority(&self) -> bool {
@@ -133,7 +141,10 @@
     /// What is placed already runs on: a claim by another scheduler would have ended it.
     pub(super) fn claim(&mut self, number: JobNumber) {
         self.counts.claims += 1;
-        if !self.is_young() && !self.reaches_enough() {
+        // Nobody has said that it has the job: only what went with the link may have.
+        let unheard = !self.announced.knows(number) && !self.ended.contains_key(&number);
+        let lost = !self.is_young() && unheard && self.has_lost_a_link();
+        if !self.is_young() && !lost && !self.reaches_enough() {
             return self.end_unclaimable(number);
         }
         let now = self.now;
@@ -147,6 +158,7 @@
             job.safe_since = now;
             job.ran_elsewhere = true;
             job.claimed_young = young;
+            job.claimed_lost = lost;
         }
         let asked: Vec<ExecutorKey> = self.executors.keys().collect();
         for key in &asked {
@@ -189,6 +201,7 @@
     /// Begins the jobs that every executor has confirmed, or that can't run where it has not.
     pub(super) fn settle_claims(&mut self) {
         let grown = !self.is_young();
+        self.begin_confirmed();
         if !self.peers_settled() || !(grown || self.has_met_roster()) {
             return;
         }
@@ -204,6 +217,21 @@
         }
     }
 
+    /// Begins the jobs that were claimed only because a link broke, once every executor that is
+    /// known has confirmed: whoever else has one can't run it any more, heard or not.
+    fn begin_confirmed(&mut self) {
+        for number in self.claiming() {
+            let confirmed = |j: &Job| {
+                let asked = matches!(&j.phase, Phase::Claiming(asked) if asked.is_empty());
+                j.claimed_lost && asked
+            };
+            let confirmed = self.jobs.get(&number).is_some_and(confirmed);
+            if confirmed && self.linked_holder(number).is_none() {
+                self.begin_claimed(number);
+            }
+        }
+    }
+
     fn claim_state(&self, number: JobNumber) -> ClaimState {
         let Some(job) = self.jobs.get(&number) else {
             return ClaimState::Open;
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -72,6 +72,8 @@
     pub renewed: bool,
     /// Whether it is claimed only because this scheduler has just started.
     pub claimed_young: bool,
+    /// Whether it is claimed because the link to a peer broke just before it came.
+    pub claimed_lost: bool,
     /// When it was last known that no other scheduler has it.
     pub safe_since: Mono,
     /// When its caller's objective ends.
@@ -129,6 +131,7 @@
             ran_elsewhere: false,
             renewed: false,
             claimed_young: false,
+            claimed_lost: false,
             safe_since: now,
             objective_at: now + objective.saturating_sub(policy.travel),
             sure_start: now + sure.saturating_sub(policy.travel),
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -21,6 +21,9 @@
     incarnation: u64,
     address: String,
     pub heard: Mono,
+    /// When its last link broke, though it had been heard just before and not said that it leaves.
+    pub lost: Option<Mono>,
+    leaving: bool,
     pub version: u64,
     out: proto::PeerUpdate,
     last_sent: Mono,
@@ -111,6 +114,7 @@
         peer.incarnation = greeting.incarnation;
         peer.address.clone_from(&greeting.address);
         peer.heard = now;
+        peer.leaving = false;
         peer.version = 0;
         peer.out = proto::PeerUpdate {
             jobs,
@@ -159,6 +163,10 @@
             return;
         };
         peer.link = None;
+        let abrupt = self.now.since(peer.heard) < self.setup.policy.claims.pause;
+        if abrupt && !peer.leaving {
+            peer.lost = Some(self.now);
+        }
         self.log(Kind::LinkDown, format!("scheduler {name}"));
         self.refresh_doubt();
         let orphans = self.following.iter().filter(|(_, f)| f.peer == name);
@@ -184,6 +192,7 @@
         if let Some(peer) = self.peers.get_mut(name) {
             peer.heard = now;
             peer.version = update.catalog_version;
+            peer.leaving = update.leaving;
         }
         for job in update.jobs {
             self.note_rival(name, JobNumber(job));
--- a/lib/tests/runner/test_scheduler/claims.rs
+++ b/lib/tests/runner/test_scheduler/claims.rs
@@ -283,3 +283,54 @@
     }
     assert_eq!(bench.starts(), [(7, 0, 1)]);
 }
+
+/// A caller's connection may break together with the link that would have announced its job.
+#[test]
+fn test_scheduler_claims_new_jobs_after_the_link_to_a_peer_was_lost() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate::default());
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit(1, 9, 1);
+    assert_eq!(bench.starts(), [], "the peer may have taken it");
+    bench.pass(20);
+    let claims: Vec<u64> = bench.orders().into_iter().flat_map(|o| o.claims).collect();
+    assert_eq!(claims, [9]);
+    bench.update(proto::Update {
+        claimed: vec![9],
+        ..proto::Update::default()
+    });
+    assert_eq!(
+        bench.starts(),
+        [(9, 0, 1)],
+        "the peer itself is not waited for"
+    );
+}
+
+#[test]
+fn test_scheduler_does_not_doubt_new_jobs_long_after_a_link_was_lost() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate::default());
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..26 {
+        bench.pass(20);
+        bench.report(Vec::new());
+    }
+    bench.actions.clear();
+    bench.submit(1, 9, 1);
+    assert_eq!(bench.starts(), [(9, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_does_not_doubt_new_jobs_when_a_peer_has_left() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        leaving: true,
+        ..proto::PeerUpdate::default()
+    });
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit(1, 9, 1);
+    assert_eq!(bench.starts(), [(9, 0, 1)]);
+}
