sight: a process's own delay, why links end, who told a version, when the store confirmed it

Cause: the logs could not tell whether an entry that served by an old configuration was short of time, had lost the change, or could not learn of it: SC300 named no origin, SC111 no reason, and nothing told the delay of the loop. Ruled out: tracing each message (the logs of a busy entry are its largest cost already). Change: SC120 and stackcourse_loop_lag_ms (delay of the loop, a line a second at most), SC113 (who ended a connection and how), SC111 with the age of the last word, SC300 with its origin, SC302 and SC303 and belief_age_ms configuration_checked (the store's last word), frames by kind, bytes, and what waits in send queues. Frames are encoded when they are queued, so that their size is known.

--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -1,6 +1,7 @@
 //! Links of the dispatch plane: TCP connections that carry length-delimited protobuf frames.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::dispatch::traffic::Outgoing;
+use crate::dispatch::traffic::Traffic;
+
 /// The largest frame, in bytes.
 pub const MAX_FRAME: usize = 16 << 20;
 /// Connections that wait to be accepted.
@@ -45,16 +49,38 @@
     NoGreeting,
 }
 
+/// Why a link is over.
+#[derive(Debug, Error)]
+pub enum LinkEnd {
+    /// This process closed it.
+    #[error("closed here")]
+    Here,
+    /// The other process closed it, or has ended.
+    #[error("closed by the other end")]
+    There,
+    /// The connection broke.
+    #[error("the connection broke: {0}")]
+    Broken(std::io::Error),
+    /// What came in is no frame.
+    #[error("a frame could not be read: {0}")]
+    Unreadable(prost::DecodeError),
+}
+
 /// The sending half of a link.
 #[derive(Clone, Debug)]
 pub struct ChannelSender {
-    queue: mpsc::UnboundedSender<Body>,
+    queue: mpsc::UnboundedSender<Outgoing>,
+    traffic: Rc<Traffic>,
 }
 
 impl ChannelSender {
     /// Queues a message. It is dropped if the link is down; the state machines hear of that.
     pub fn send(&self, body: Body) {
-        let _ = self.queue.send(body);
+        let frame = proto::Frame { body: Some(body) };
+        let bytes = Bytes::from(frame.encode_to_vec());
+        if let Some(body) = &frame.body {
+            let _ = self.queue.send(self.traffic.enqueue(body, bytes));
+        }
     }
 }
 
@@ -71,7 +97,9 @@
     /// A message came in.
     fn message(&self, link: LinkId, body: Body);
     /// A link is down.
-    fn down(&self, link: LinkId);
+    fn down(&self, link: LinkId, end: LinkEnd);
+    /// What passes on the links of this process.
+    fn traffic(&self) -> Rc<Traffic>;
 }
 
 type Wire = Framed<TcpStream, LengthDelimitedCodec>;
@@ -147,44 +175,60 @@
         return;
     }
     let link = LinkId(NEXT_LINK.fetch_add(1, Ordering::Relaxed));
+    let traffic = listener.traffic();
     let (sink, mut stream) = wire.split();
     let (queue, receiver) = mpsc::unbounded_channel();
     let mut writer = actix_rt::spawn(write(sink, receiver));
-    listener.up(link, &theirs, ChannelSender { queue });
-    loop {
+    let sender = ChannelSender {
+        queue,
+        traffic: traffic.clone(),
+    };
+    listener.up(link, &theirs, sender);
+    let end = loop {
         let next = tokio::select! {
             next = stream.next() => next,
-            _ = &mut writer => break,
+            written = &mut writer => break written.unwrap_or(LinkEnd::Here),
         };
-        let Some(Ok(bytes)) = next else {
-            break;
+        let bytes = match next {
+            Some(Ok(bytes)) => bytes,
+            Some(Err(e)) => break LinkEnd::Broken(e),
+            None => break LinkEnd::There,
         };
-        let Ok(frame) = proto::Frame::decode(bytes) else {
-            break;
-        };
-        if let Some(body) = frame.body {
-            listener.message(link, body);
+        let size = bytes.len();
+        match proto::Frame::decode(bytes) {
+            Ok(frame) => {
+                if let Some(body) = frame.body {
+                    traffic.count_received(&body, size);
+                    listener.message(link, body);
+                }
+            }
+            Err(e) => break LinkEnd::Unreadable(e),
         }
-    }
+    };
     writer.abort();
-    listener.down(link);
+    listener.down(link, end);
 }
 
 type WireSink = futures::stream::SplitSink<Wire, Bytes>;
 
 /// Writes what is queued, flushing when the queue is empty. Ends when the sender is dropped.
-async fn write(mut sink: WireSink, mut queue: mpsc::UnboundedReceiver<Body>) {
+async fn write(mut sink: WireSink, mut queue: mpsc::UnboundedReceiver<Outgoing>) -> LinkEnd {
     while let Some(first) = queue.recv().await {
-        if sink.feed(encode(first)).await.is_err() {
-            return;
-        }
-        while let Ok(more) = queue.try_recv() {
-            if sink.feed(encode(more)).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
-            return;
+        if let Err(e) = write_queued(&mut sink, first, &mut queue).await {
+            return LinkEnd::Broken(e);
         }
     }
+    LinkEnd::Here
+}
+
+async fn write_queued(
+    sink: &mut WireSink,
+    first: Outgoing,
+    queue: &mut mpsc::UnboundedReceiver<Outgoing>,
+) -> std::io::Result<()> {
+    sink.feed(first.bytes()).await?;
+    while let Ok(more) = queue.try_recv() {
+        sink.feed(more.bytes()).await?;
+    }
+    sink.flush().await
 }
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -25,10 +25,14 @@
 use tokio::sync::watch;
 
 use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::lag::LoopLag;
 use crate::dispatch::links;
 use crate::dispatch::links::Links;
 use crate::dispatch::log_sink::LogSink;
+use crate::dispatch::metrics_page::ProcessGauges;
+use crate::dispatch::traffic::Traffic;
 
 /// Time passes for the executor in steps of this.
 const TICK: Duration = Duration::from_millis(25);
@@ -64,6 +68,7 @@
     kept: watch::Sender<Option<WorkerBeat>>,
     start: Instant,
     links: Links,
+    lag: LoopLag,
     log: RefCell<LogSink>,
 }
 
@@ -77,6 +82,7 @@
             kept: watch::Sender::default(),
             start: Instant::now(),
             links: Links::default(),
+            lag: LoopLag::default(),
             log: RefCell::new(log),
         };
         let host = ExecutorHost {
@@ -85,7 +91,9 @@
         let ticking = host.clone();
         actix_rt::spawn(async move {
             loop {
-                actix_rt::time::sleep(TICK).await;
+                if let Some(late) = ticking.inner.lag.sleep(TICK).await {
+                    ticking.log(Kind::LoopLate, format!("{} ms", late.as_millis()));
+                }
                 ticking.with(|e, now| e.tick(now));
             }
         });
@@ -122,9 +130,13 @@
         self.inner.log.borrow_mut().log(self.now(), &event);
     }
 
-    /// Log lines that were left out because their reader was too slow.
-    pub fn log_dropped(&self) -> u64 {
-        self.inner.log.borrow().dropped()
+    /// How late this process gets to what is due, and what passes on its links.
+    pub fn process(&self) -> ProcessGauges<'_> {
+        ProcessGauges {
+            lag: &self.inner.lag,
+            traffic: &self.inner.links.traffic,
+            dropped: self.inner.log.borrow().dropped(),
+        }
     }
 
     /// What the worker says of itself, as it changes, to be kept for the next life.
@@ -207,8 +219,13 @@
         }
     }
 
-    fn down(&self, link: LinkId) {
+    fn down(&self, link: LinkId, end: LinkEnd) {
         self.inner.links.remove(link);
+        self.log(Kind::LinkEnded, format!("link {}: {end}", link.0));
         self.with(|e, _| e.link_down(link));
     }
+
+    fn traffic(&self) -> Rc<Traffic> {
+        self.inner.links.traffic.clone()
+    }
 }
--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -30,6 +30,8 @@
 pub trait Follower: 'static {
     /// A watched key has this value.
     fn value(&self, item: &Item);
+    /// The store has answered: what was told is what it holds.
+    fn confirmed(&self) {}
     /// Writes a log line.
     fn log(&self, kind: Kind, detail: String);
 }
@@ -51,6 +53,7 @@
                 note_back(&follower, &away, prefix);
                 pause = RETRY.0;
                 items.iter().for_each(|item| follower.value(item));
+                follower.confirmed();
                 let error = watch(&*store, prefix, at, wait, &follower).await;
                 note_away(&follower, &away, prefix, &error);
             }
@@ -79,6 +82,7 @@
                         follower.value(&item);
                     }
                 }
+                follower.confirmed();
             }
             Err(error) => return error,
         }
--- a/lib/daemon/src/dispatch/links.rs
+++ b/lib/daemon/src/dispatch/links.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -14,10 +15,13 @@
 use crate::dispatch::channel;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::traffic::Traffic;
 
 /// The links.
 #[derive(Default)]
 pub struct Links {
+    /// What passes on them.
+    pub traffic: Rc<Traffic>,
     open: RefCell<HashMap<LinkId, ChannelSender>>,
     dialling: RefCell<HashSet<SocketAddr>>,
 }
--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -12,6 +12,9 @@
 use stackcourse_lib::dispatch::scheduler::Scheduler;
 use stackcourse_lib::prelude::Mono;
 
+use crate::dispatch::lag::LoopLag;
+use crate::dispatch::traffic::Traffic;
+
 struct Page {
     registry: Registry,
 }
@@ -56,11 +59,55 @@
     }
 }
 
-/// The metrics of a scheduler. `dropped` counts log lines that were left out.
-pub fn of_scheduler(scheduler: &Scheduler, now: Mono, dropped: u64) -> String {
+/// What processes of either role tell of themselves.
+pub struct ProcessGauges<'a> {
+    /// The delay of the event loop.
+    pub lag: &'a LoopLag,
+    /// The links' traffic.
+    pub traffic: &'a Traffic,
+    /// Log lines that were left out because their reader was too slow.
+    pub dropped: u64,
+}
+
+impl ProcessGauges<'_> {
+    fn add_to(&self, page: &Page) {
+        let [last, longest] = self.lag.take().map(|d| clock::millis(d) as i64);
+        let lag = [("last", last), ("longest", longest)];
+        let help = "The delay of the process's event loop in milliseconds, the newest and the \
+                    longest since the last reading.";
+        page.gauges("loop_lag_ms", help, &lag);
+        let help = "Frames sent on links, by kind.";
+        page.counters("frames_sent_total", help, "kind", self.traffic.sent());
+        let help = "Frames received on links, by kind.";
+        page.counters(
+            "frames_received_total",
+            help,
+            "kind",
+            self.traffic.received(),
+        );
+        let [sent, received] = self.traffic.bytes();
+        let bytes = [("sent", sent), ("received", received)];
+        let help = "Bytes of frames on links, by direction.";
+        page.counters("link_bytes_total", help, "direction", bytes.into_iter());
+        let [frames, bytes] = self.traffic.waiting().map(|n| n as i64);
+        let longest = clock::millis(self.traffic.take_longest_wait()) as i64;
+        let queues = [
+            ("frames", frames),
+            ("bytes", bytes),
+            ("longest_wait_ms", longest),
+        ];
+        let help = "What waits in the send queues of all links, and the longest wait since the \
+                    last reading.";
+        page.gauges("send_queue", help, &queues);
+    }
+}
+
+/// The metrics of a scheduler.
+pub fn of_scheduler(scheduler: &Scheduler, now: Mono, process: &ProcessGauges<'_>) -> String {
     let page = Page {
         registry: Registry::new(),
     };
+    process.add_to(&page);
     let counts = scheduler.counts();
     let words = |map: &std::collections::BTreeMap<&'static str, u64>| -> Vec<(&str, u64)> {
         map.iter().map(|(k, v)| (*k, *v)).collect()
@@ -78,7 +125,7 @@
         ("joined", counts.joined),
         ("claimed", counts.claims),
         ("placed", counts.placed),
-        ("log_lines_dropped", dropped),
+        ("log_lines_dropped", process.dropped),
     ];
     let help = "Decisions made.";
     page.counters("decisions_total", help, "kind", decisions.into_iter());
@@ -95,6 +142,10 @@
     let ages = scheduler.ages(now);
     let ages = [
         ("configuration", clock::millis(ages.catalog) as i64),
+        (
+            "configuration_checked",
+            clock::millis(ages.catalog_checked) as i64,
+        ),
         ("executor_report", clock::millis(ages.executors) as i64),
         ("peer_update", clock::millis(ages.peers) as i64),
     ];
@@ -104,11 +155,12 @@
     page.text()
 }
 
-/// The metrics of an executor. `dropped` counts log lines that were left out.
-pub fn of_executor(executor: &Executor, dropped: u64) -> String {
+/// The metrics of an executor.
+pub fn of_executor(executor: &Executor, process: &ProcessGauges<'_>) -> String {
     let page = Page {
         registry: Registry::new(),
     };
+    process.add_to(&page);
     let counts = executor.counts();
     let runs = [
         ("started", counts.starts),
@@ -121,7 +173,7 @@
         ("returned", counts.returned),
         ("leases_over", counts.lapsed),
         ("strangers", counts.strangers),
-        ("log_lines_dropped", dropped),
+        ("log_lines_dropped", process.dropped),
     ];
     let help = "What the executor did.";
     page.counters("executor_total", help, "kind", runs.into_iter());
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -26,10 +26,14 @@
 
 use crate::dispatch::channel;
 use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::lag::LoopLag;
 use crate::dispatch::links;
 use crate::dispatch::links::Links;
 use crate::dispatch::log_sink::LogSink;
+use crate::dispatch::metrics_page::ProcessGauges;
+use crate::dispatch::traffic::Traffic;
 
 /// Time passes for the scheduler in steps of this.
 const TICK: Duration = Duration::from_millis(20);
@@ -46,6 +50,7 @@
     start: Instant,
     own: SocketAddr,
     links: Links,
+    lag: LoopLag,
     callers: RefCell<HashMap<CallerId, oneshot::Sender<JobOutcome>>>,
     next_caller: Cell<u64>,
     log: RefCell<LogSink>,
@@ -99,6 +104,7 @@
             start: Instant::now(),
             own,
             links: Links::default(),
+            lag: LoopLag::default(),
             callers: RefCell::default(),
             next_caller: Cell::new(1),
             log: RefCell::new(log),
@@ -120,7 +126,9 @@
         let ticking = host.clone();
         actix_rt::spawn(async move {
             loop {
-                actix_rt::time::sleep(TICK).await;
+                if let Some(late) = ticking.inner.lag.sleep(TICK).await {
+                    ticking.log(Kind::LoopLate, format!("{} ms", late.as_millis()));
+                }
                 ticking.with(|s, now| s.tick(now));
             }
         });
@@ -174,9 +182,13 @@
         self.inner.log.borrow_mut().log(self.now(), &event);
     }
 
-    /// Log lines that were left out because their reader was too slow.
-    pub fn log_dropped(&self) -> u64 {
-        self.inner.log.borrow().dropped()
+    /// How late this process gets to what is due, and what passes on its links.
+    pub fn process(&self) -> ProcessGauges<'_> {
+        ProcessGauges {
+            lag: &self.inner.lag,
+            traffic: &self.inner.links.traffic,
+            dropped: self.inner.log.borrow().dropped(),
+        }
     }
 
     /// Keeps a link to the scheduler at this address.
@@ -236,8 +248,13 @@
         self.with(|s, now| s.message(now, link, body));
     }
 
-    fn down(&self, link: LinkId) {
+    fn down(&self, link: LinkId, end: LinkEnd) {
         self.inner.links.remove(link);
+        self.log(Kind::LinkEnded, format!("link {}: {end}", link.0));
         self.with(|s, now| s.link_down(now, link));
     }
+
+    fn traffic(&self) -> Rc<Traffic> {
+        self.inner.links.traffic.clone()
+    }
 }
--- a/lib/daemon/tests/runner/main.rs
+++ b/lib/daemon/tests/runner/main.rs
@@ -1,3 +1,4 @@
 //! The daemons' integration tests.
 
 mod test_log_sink;
+mod test_sight;
--- /dev/null
+++ b/lib/daemon/tests/runner/test_sight.rs
@@ -0,0 +1,51 @@
+//! What a process tells of itself: its delay, and the traffic of its links.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use stackcourse_daemon::dispatch::lag::LoopLag;
+use stackcourse_daemon::dispatch::traffic::Traffic;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn test_lag_lines_are_bounded_and_lose_no_delay() {
+    let lag = LoopLag::default();
+    let begin = Instant::now();
+    assert_eq!(lag.note(millis(5), begin), None);
+    assert_eq!(lag.note(millis(300), begin), Some(millis(300)));
+    // Longer delays within the same second wait for the next line, the longest is told.
+    assert_eq!(lag.note(millis(900), begin + millis(400)), None);
+    assert_eq!(lag.note(millis(250), begin + millis(800)), None);
+    let later = begin + millis(1100);
+    assert_eq!(lag.note(millis(1), later), Some(millis(900)));
+    assert_eq!(lag.note(millis(1), later + millis(1100)), None);
+    assert_eq!(lag.take(), [millis(1), millis(900)]);
+    assert_eq!(lag.take(), [millis(1), millis(0)]);
+}
+
+#[test]
+fn test_traffic_counts_what_waits_until_it_is_dropped() {
+    let traffic = Rc::new(Traffic::default());
+    let orders = Body::Orders(proto::Orders::default());
+    let first = traffic.enqueue(&orders, vec![0; 10].into());
+    let second = traffic.enqueue(&orders, vec![0; 5].into());
+    assert_eq!(traffic.waiting(), [2, 15]);
+    drop(first);
+    assert_eq!(traffic.waiting(), [1, 5]);
+    drop(second);
+    assert_eq!(traffic.waiting(), [0, 0]);
+    traffic.count_received(&Body::Peer(proto::PeerUpdate::default()), 7);
+    assert_eq!(traffic.bytes(), [15, 7]);
+    let of = |name: &str, mut counts: Vec<(&'static str, u64)>| {
+        counts.retain(|(kind, _)| *kind == name);
+        counts[0].1
+    };
+    assert_eq!(of("orders", traffic.sent().collect()), 2);
+    assert_eq!(of("peer", traffic.received().collect()), 1);
+}
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -40,6 +40,10 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
+/// A catalog that the store has not confirmed for so long may be an old one. Two watches of a
+/// second, which is how often the store answers while nothing changes.
+const CATALOG_UNSURE: Duration = Duration::from_millis(2000);
+
 /// The scheduler's settings that concern decisions.
 #[derive(Clone, Debug)]
 pub struct SchedulerSetup {
@@ -107,6 +111,8 @@
 pub struct BeliefAges {
     /// The catalog, since it came into force here.
     pub catalog: Duration,
+    /// The store's word that there is no newer one.
+    pub catalog_checked: Duration,
     /// The oldest report of a linked executor.
     pub executors: Duration,
     /// The oldest word of a linked peer.
@@ -152,6 +158,10 @@
     timings: JobTimings,
     /// When the catalog in force came into force.
     catalog_since: Mono,
+    /// When the store last answered that there is no newer one.
+    catalog_checked: Mono,
+    /// Whether it has not for long, and that was logged.
+    catalog_unsure: bool,
     actions: Vec<Action>,
     now: Mono,
     /// Since when this process has run without a pause.
@@ -188,6 +198,8 @@
             counts: SchedulerCounts::default(),
             timings: JobTimings::default(),
             catalog_since: Mono::default(),
+            catalog_checked: Mono::default(),
+            catalog_unsure: false,
             actions: Vec::new(),
             now: Mono::default(),
             awake_since: Mono::default(),
@@ -253,6 +265,7 @@
         let oldest = |heard: Option<Mono>| heard.map_or(Duration::ZERO, |at| now.since(at));
         BeliefAges {
             catalog: now.since(self.catalog_since),
+            catalog_checked: now.since(self.catalog_checked),
             executors: oldest(executors.map(|e| e.heard).min()),
             peers: oldest(peers.map(|p| p.heard).min()),
         }
@@ -268,19 +281,52 @@
         self.catalog.as_ref().map_or(0, |c| c.catalog().version)
     }
 
-    /// Puts a catalog in force, unless a newer one is.
+    /// Puts a catalog that the store holds in force, unless a newer one is.
     pub fn set_catalog(&mut self, now: Mono, catalog: Catalog) {
         self.enter(now);
+        self.take_catalog(catalog, "the store");
+    }
+
+    /// Puts a catalog in force, unless a newer one is. `origin` says who told it.
+    fn take_catalog(&mut self, catalog: Catalog, origin: &str) {
         if self.catalog.is_some() && catalog.version <= self.version() {
             return;
         }
-        let detail = format!("{}, before {}", catalog.version, self.version());
+        let (version, before) = (catalog.version, self.version());
+        let detail = format!("{version}, before {before}, from {origin}");
         self.log(Kind::ConfigInForce, detail);
         self.catalog = Some(CatalogIndex::new(catalog));
-        self.catalog_since = now;
+        self.catalog_since = self.now;
         self.tell_catalog();
     }
 
+    /// The store has answered: it holds no newer catalog than it has told of.
+    pub fn catalog_confirmed(&mut self, now: Mono) {
+        self.enter(now);
+        if self.catalog_unsure {
+            self.catalog_unsure = false;
+            let away = crate::clock::millis(now.since(self.catalog_checked));
+            self.log(Kind::ConfigConfirmed, format!("after {away} ms"));
+        }
+        self.catalog_checked = now;
+    }
+
+    /// Notes when the store has not been heard for so long that a newer catalog may have been
+    /// accepted without this scheduler knowing.
+    fn watch_catalog(&mut self) {
+        let age = self.now.since(self.catalog_checked);
+        if self.catalog_unsure || self.catalog.is_none() || age < CATALOG_UNSURE {
+            return;
+        }
+        self.catalog_unsure = true;
+        let detail = format!(
+            "version {}, confirmed {} ms ago",
+            self.version(),
+            crate::clock::millis(age)
+        );
+        self.log(Kind::ConfigUnsure, detail);
+    }
+
     /// Whether requests should be sent here: a catalog is in force, a worker can be reached, and
     /// the process is not leaving.
     pub fn is_ready(&self) -> bool {
@@ -346,6 +392,7 @@
         self.expire_jobs();
         self.watch_executors();
         self.watch_peers();
+        self.watch_catalog();
         self.forget();
         self.settle_claims();
         self.place();
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -289,7 +289,11 @@
         let executor = &mut self.executors[key];
         executor.link = None;
         executor.report.ready = false;
-        let detail = format!("executor {}", executor.name);
+        let detail = format!(
+            "executor {}, heard {} ms ago",
+            executor.name,
+            crate::clock::millis(self.now.since(executor.heard)),
+        );
         self.log(Kind::LinkDown, detail);
         self.refresh_doubt();
     }
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -163,11 +163,14 @@
             return;
         };
         peer.link = None;
-        let abrupt = self.now.since(peer.heard) < self.setup.policy.claims.pause;
+        let unheard = self.now.since(peer.heard);
+        let abrupt = unheard < self.setup.policy.claims.pause;
         if abrupt && !peer.leaving {
             peer.lost = Some(self.now);
         }
-        self.log(Kind::LinkDown, format!("scheduler {name}"));
+        let unheard = crate::clock::millis(unheard);
+        let detail = format!("scheduler {name}, heard {unheard} ms ago");
+        self.log(Kind::LinkDown, detail);
         self.refresh_doubt();
         let orphans = self.following.iter().filter(|(_, f)| f.peer == name);
         let orphans: Vec<JobNumber> = orphans.map(|(n, _)| *n).collect();
@@ -213,14 +216,14 @@
         }
         self.hear_of_executors(&update.executors);
         if !update.catalog.is_empty() {
-            self.read_catalog(&update.catalog);
+            self.read_catalog(name, &update.catalog);
         }
         self.tell_catalog();
     }
 
-    fn read_catalog(&mut self, bytes: &[u8]) {
+    fn read_catalog(&mut self, name: &str, bytes: &[u8]) {
         match serde_json::from_slice::<Catalog>(bytes) {
-            Ok(catalog) => self.set_catalog(self.now, catalog),
+            Ok(catalog) => self.take_catalog(catalog, name),
             Err(e) => self.log(Kind::ConfigBad, e.to_string()),
         }
     }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -50,6 +50,8 @@
     LinkUp = 110, Info, "a link to another process is up";
     LinkDown = 111, Warn, "a link to another process is down";
     BadFrame = 112, Warn, "a message could not be read; its link is closed";
+    LinkEnded = 113, Warn, "the connection of a link has ended";
+    LoopLate = 120, Warn, "this process is late: it has more to do than time for it";
     Joined = 200, Info, "this entry joined the ownership record";
     Dropped = 201, Warn, "this entry was dropped from the ownership record and joins anew";
     RightLapsed = 202, Warn, "the right to start tasks has lapsed";
@@ -74,6 +76,8 @@
     WorkerWell = 251, Info, "a worker is well again";
     ConfigInForce = 300, Info, "a configuration version is in force";
     ConfigBad = 301, Error, "a configuration version can't be read and was passed over";
+    ConfigUnsure = 302, Warn, "the store has not confirmed for long that the configuration in force is the newest";
+    ConfigConfirmed = 303, Info, "the store confirms again which configuration is the newest";
     RequestRefused = 310, Info, "requests were refused";
     JobTaken = 400, Info, "a job was taken";
     JobCompleted = 401, Info, "a job is complete";
