tests: a large configuration fills the links of small machines and comes late; the model's links have a bandwidth

Cause: a scheduler answers each word of a peer that is behind with another whole copy of its catalog. With 250 KB, peers on 25 Mbit/s and a heartbeat each 100 ms that is more than their links carry; the queues have no bound. Ruled out: the process's time (the delay of the loop stayed below 300 ms where versions came 1.9 s late), a change lost by the watch (the late versions came 'from the store'), time-outs after the store's return alone (they cost 1.2 to 1.4 s, and peers had the version by then). In real processes the send queues of one entry grew from 0 to 26.7 MB in 0.4 s, frames waited for up to 27.9 s.

--- a/lib/testutils/src/dispatch/network.rs
+++ b/lib/testutils/src/dispatch/network.rs
@@ -1,4 +1,5 @@
-//! Links between the processes of a world: in order, delayed, cut one way or both, reset.
+//! Links between the processes of a world: in order, delayed, cut one way or both, reset, and of
+//! limited bandwidth where a process's machine has a limit.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -46,6 +47,26 @@
     }
 }
 
+/// A frame's headers on the wire, in bytes.
+const HEADERS: u64 = 66;
+
+/// What a machine's connection to the network carries each way.
+#[derive(Clone, Copy, Debug)]
+struct Uplink {
+    bytes_per_s: u64,
+    /// When what was sent, and what is received, is through.
+    free_at: [u64; 2],
+}
+
+impl Uplink {
+    /// When a frame is through that may begin at `from`.
+    fn pass(&mut self, way: usize, from: u64, bytes: u64) -> u64 {
+        let begin = self.free_at[way].max(from);
+        self.free_at[way] = begin + (bytes + HEADERS) * 1_000_000 / self.bytes_per_s;
+        self.free_at[way]
+    }
+}
+
 /// All links, and the cuts.
 #[derive(Clone, Debug, Default)]
 pub struct Network {
@@ -53,10 +74,38 @@
     pub wires: BTreeMap<LinkId, Wire>,
     /// Directions in which nothing passes.
     pub cuts: BTreeSet<(Node, Node)>,
+    uplinks: BTreeMap<Node, Uplink>,
     next: u64,
 }
 
 impl Network {
+    /// Limits what a process's machine can send and receive; the others have no limit.
+    pub fn limit(&mut self, node: Node, bytes_per_s: u64) {
+        let uplink = Uplink {
+            bytes_per_s,
+            free_at: [0; 2],
+        };
+        self.uplinks.insert(node, uplink);
+    }
+
+    /// When a frame that is sent at `now` has left its machine.
+    pub fn departs(&mut self, from: Node, now: u64, bytes: u64) -> u64 {
+        let uplink = self.uplinks.get_mut(&from);
+        uplink.map_or(now, |u| u.pass(0, now, bytes))
+    }
+
+    /// When a frame that comes to a machine at `at` is received whole.
+    pub fn arrives(&mut self, to: Node, at: u64, bytes: u64) -> u64 {
+        let uplink = self.uplinks.get_mut(&to);
+        uplink.map_or(at, |u| u.pass(1, at, bytes))
+    }
+
+    /// How long what is sent by a process now waits for its machine's connection, in microseconds.
+    pub fn backlog(&self, node: Node, now: u64) -> u64 {
+        let uplink = self.uplinks.get(&node);
+        uplink.map_or(0, |u| u.free_at[0].saturating_sub(now))
+    }
+
     /// Opens a link.
     pub fn open(&mut self, from: Node, to: Node) -> LinkId {
         self.next += 1;
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -50,6 +50,10 @@
 const ROSTER_US: u64 = 30_000;
 /// An executor has read its key in the store this long after its start.
 const RECALL_US: u64 = 6_000;
+/// The store's watch tells of a change after this long, in microseconds.
+const WATCH_US: u64 = 4_000;
+/// The store's answers hold values in a form that is longer than they are, in thirds.
+const STORE_THIRDS: u64 = 4;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
@@ -74,6 +78,8 @@
     Roster(usize, u64),
     /// An executor reads what an earlier life of it has left in the store.
     Recall(usize, u64),
+    /// The store tells a scheduler of a newer catalog.
+    Catalog(usize, u64, Catalog),
 }
 
 fn executor_name(number: usize) -> String {
@@ -274,6 +280,7 @@
             Due::Return(node) => self.come_back(node),
             Due::Roster(n, life) => self.tell_roster(n, life),
             Due::Recall(n, life) => self.recall(n, life),
+            Due::Catalog(n, life, catalog) => self.tell_catalog(n, life, catalog),
         }
     }
 
@@ -452,6 +459,17 @@
         (self.schedulers.len(), self.executors.len())
     }
 
+    /// The version of the catalog that a scheduler has in force; 0 if it is down.
+    pub fn version_at(&self, scheduler: usize) -> u64 {
+        let node = &self.schedulers[scheduler];
+        if node.up { node.scheduler.version() } else { 0 }
+    }
+
+    /// How many links to executors a scheduler has.
+    pub fn executors_linked(&self, scheduler: usize) -> usize {
+        self.schedulers[scheduler].scheduler.load()[2]
+    }
+
     /// Whether a process is up.
     pub fn is_node_up(&self, node: Node) -> bool {
         self.is_up(node)
--- a/lib/testutils/src/dispatch/world/links.rs
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -1,5 +1,6 @@
 //! The links of a world: messages on their way, cuts, resets.
 
+use prost::Message;
 use rand::Rng;
 use stackcourse_lib::prelude::LinkId;
 use stackcourse_lib::protos::dispatch::frame::Body;
@@ -8,6 +9,17 @@
 use super::World;
 use crate::dispatch::network::Node;
 
+/// The size of a frame, in bytes.
+fn size(body: &Body) -> u64 {
+    let bytes = match body {
+        Body::Greeting(m) => m.encoded_len(),
+        Body::Orders(m) => m.encoded_len(),
+        Body::Update(m) => m.encoded_len(),
+        Body::Peer(m) => m.encoded_len(),
+    };
+    bytes as u64
+}
+
 impl World {
     pub(super) fn send(&mut self, from: Node, link: LinkId, body: Body) {
         let Some(wire) = self.network.wires.get_mut(&link) else {
@@ -21,7 +33,13 @@
             wire.held[way].push(body);
             return;
         }
-        let arrives = (self.now + self.rng.random_range(300..1500)).max(wire.last[way] + 1);
+        let delay = self.rng.random_range(300..1500);
+        let last = wire.last[way];
+        let bytes = size(&body);
+        let departs = self.network.departs(from, self.now, bytes);
+        let arrives = self.network.arrives(to, departs + delay, bytes);
+        let arrives = arrives.max(last + 1);
+        let wire = self.network.wires.get_mut(&link).expect("it was there");
         wire.last[way] = arrives;
         let wait = arrives - self.now;
         self.at(wait, Due::Deliver(link, to, body));
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -82,6 +82,26 @@
         }
     }
 
+    /// The store accepts a newer catalog, and tells the schedulers that it `serves`.
+    pub fn accept_catalog(&mut self, catalog: Catalog, serves: impl Fn(usize) -> bool) {
+        let json = serde_json::to_vec(&catalog).expect("texts and numbers have a JSON form");
+        let bytes = json.len() as u64 * STORE_THIRDS / 3;
+        self.callers.catalog = catalog.clone();
+        for n in (0..self.schedulers.len()).filter(|n| serves(*n)) {
+            let node = Node::Scheduler(n);
+            let arrives = self.network.arrives(node, self.now + WATCH_US, bytes);
+            let life = self.life(node);
+            let due = Due::Catalog(n, life, catalog.clone());
+            self.at(arrives - self.now, due);
+        }
+    }
+
+    pub(super) fn tell_catalog(&mut self, n: usize, life: u64, catalog: Catalog) {
+        if self.life(Node::Scheduler(n)) == life {
+            self.with_scheduler(n, |s, now| s.set_catalog(now, catalog));
+        }
+    }
+
     /// An executor has read what its earlier life has left in the store.
     pub(super) fn recall(&mut self, n: usize, life: u64) {
         if let Some(beat) = self.kept[n].clone() {
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -1,5 +1,6 @@
 //! The randomised runs, with fixed seeds.
 
+mod test_catalog_spread;
 mod test_dispatch_load;
 mod test_dispatch_run;
 mod test_random_run;
