scheduler: peers are told of the executors that are new, not of all

Ruled out: that the whole list is needed: names are only ever added by it, and the first message on a link holds all. Change: one name for each executor that links. Figures: by count, six executors joining 10 schedulers with 80 others: 540 messages of 2 KB before, 540 of 90 bytes or less after (names are gathered until the next message). The new test fails on the code before. Not measured on a fleet by itself.

--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -177,7 +177,7 @@
         self.log(Kind::LinkUp, format!("executor {}", greeting.name));
         self.refresh_doubt();
         self.claim_at(key);
-        self.tell_executors();
+        self.tell_executor(&greeting.name);
     }
 
     /// The executors that are linked, by name.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -289,12 +289,12 @@
         }
     }
 
-    /// Tells the peers which executors are linked here.
-    pub(super) fn tell_executors(&mut self) {
-        let names = self.linked_executors();
+    /// Tells the peers of an executor that has linked here. Only its name: all names on each link made
+    /// 540 messages of 2 KB when six executors joined ten schedulers with eighty others.
+    pub(super) fn tell_executor(&mut self, name: &str) {
         for peer in self.peers.values_mut() {
-            if peer.link.is_some() {
-                peer.out.executors.clone_from(&names);
+            if peer.link.is_some() && !peer.out.executors.iter().any(|n| n == name) {
+                peer.out.executors.push(name.to_owned());
             }
         }
     }
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -261,7 +261,8 @@
     /// The sender is leaving.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
-    /// Executors that the sender is linked to, by name, when they have changed.
+    /// Executors that have linked to the sender since the last message, by name; in the first one on
+    /// a link all that are linked.
     #[prost(string, repeated, tag = "9")]
     pub executors: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// The sender is behind and wants the receiver's configuration.
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -415,3 +415,29 @@
     assert!(bench.actions.contains(&Action::Close(EXECUTOR)));
     assert_eq!(bench.starts(), [], "an old report is no sign of life");
 }
+
+/// All names on each new link made the messages of a fleet of ten schedulers grow with the square of
+/// the executors that join at once.
+#[test]
+fn test_scheduler_tells_peers_only_of_executors_that_are_new() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.pass(20);
+    let names = |bench: &mut Bench| -> Vec<String> {
+        let told = bench.actions.drain(..).filter_map(|action| match action {
+            Action::Send(PEER, body) => Some(*body),
+            _ => None,
+        });
+        let named = told.flat_map(|body| match body {
+            Body::Peer(update) => update.executors,
+            _ => Vec::new(),
+        });
+        named.collect()
+    };
+    assert_eq!(names(&mut bench), ["e1"], "all in the first message");
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.pass(20);
+    assert_eq!(names(&mut bench), ["e2"], "then what is new");
+    bench.pass(200);
+    assert_eq!(names(&mut bench), [""; 0]);
+}
