--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -15,6 +15,7 @@
 use stackcourse_testutils::platform::fleet::Machine;
 use stackcourse_testutils::platform::fleet::SERVICE;
 use stackcourse_testutils::platform::soak;
+use stackcourse_testutils::platform::soak::SoakPlan;
 use stackcourse_testutils::platform::store::Mood;
 
 fn binary() -> &'static Path {
@@ -256,10 +257,15 @@
 #[actix_rt::test]
 async fn test_platform_soak_keeps_every_promise() {
     for seed in 1..3 {
-        let report = soak::run(binary(), seed, Duration::from_secs(8)).await;
-        assert_eq!(report.violation, None, "seed {seed}: {report:?}");
-        let enough = report.recovered * 10 >= soak::CALM_JOBS * 8;
-        assert!(enough, "seed {seed} did not recover: {report:?}");
+        let logs = std::env::temp_dir().join("stackcourse-soak");
+        let plan = SoakPlan {
+            keep: Some(logs.clone()),
+            ..SoakPlan::small(seed, Duration::from_secs(8))
+        };
+        let report = soak::run(binary(), &plan).await;
+        let kept = format!("seed {seed}, logs in {}: {report:?}", logs.display());
+        assert_eq!(report.violation, None, "{kept}");
+        assert!(report.is_good(), "did not recover: {kept}");
     }
 }
 
--- a/lib/testutils/src/bin/platform-soak.rs
+++ b/lib/testutils/src/bin/platform-soak.rs
@@ -8,6 +8,7 @@
 use clap::Command;
 use clap::value_parser;
 use stackcourse_testutils::platform::soak;
+use stackcourse_testutils::platform::soak::SoakPlan;
 
 fn main() -> ExitCode {
     let matches = Command::new("platform-soak")
@@ -22,15 +23,29 @@
         .arg(number("from", "1", "The first seed"))
         .arg(number("seeds", "50", "How many seeds"))
         .arg(number("span", "8", "Seconds with faults in each run"))
+        .arg(number("entries", "3", "Entries of the fleet, 20 at most"))
+        .arg(number("agents", "4", "Agents of the fleet, 200 at most"))
+        .arg(
+            Arg::new("keep")
+                .long("keep")
+                .default_value("target/soak")
+                .value_parser(value_parser!(PathBuf))
+                .help("Where the logs and the timeline of a seed that failed are kept"),
+        )
         .get_matches();
     let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
     let binary = matches.get_one::<PathBuf>("binary").expect("a default");
     let span = Duration::from_secs(value("span"));
     let mut broken = 0;
     for seed in value("from")..value("from") + value("seeds") {
-        let report = actix_rt::System::new().block_on(soak::run(binary, seed, span));
-        let recovered = report.recovered * 10 >= soak::CALM_JOBS * 8;
-        if report.violation.is_some() || !recovered {
+        let plan = SoakPlan {
+            entries: value("entries") as usize,
+            agents: value("agents") as usize,
+            keep: matches.get_one::<PathBuf>("keep").cloned(),
+            ..SoakPlan::small(seed, span)
+        };
+        let report = actix_rt::System::new().block_on(soak::run(binary, &plan));
+        if !report.is_good() {
             broken += 1;
         }
         println!("seed {seed}: {report:?}");
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -39,6 +39,8 @@
 const WORKER_PORT: u16 = 8165;
 const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 8169;
+/// The configuration that a fleet starts with.
+pub const FIRST_VERSION: u64 = 3;
 /// The service of the fleet.
 pub const SERVICE: &str = "quote-desk";
 
@@ -197,7 +199,8 @@
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let ip = |n: usize| Ipv4Addr::new(127, base[0], base[1], n as u8 + 1);
         let store_state = PlatformStoreState::default();
-        store_state.operator_writes("op/config", &configuration(3, &[SERVICE]));
+        let first = configuration(FIRST_VERSION, &[SERVICE]);
+        store_state.operator_writes("op/config", &first);
         let store_address = SocketAddr::from((ip(0), STORE_PORT));
         let mut stand_ins = vec![store::start(store_address, store_state.clone())];
         let shared = Workers::new(agents, SERVICE);
@@ -286,6 +289,21 @@
         }
     }
 
+    /// Copies the logs of all processes so far.
+    ///
+    /// # Errors
+    ///
+    /// When the directory can't be made or written to.
+    pub fn keep_logs(&self, dir: &Path) -> std::io::Result<()> {
+        std::fs::create_dir_all(dir)?;
+        for machine in self.entries.iter().chain(&self.agents) {
+            let log = machine.log();
+            let name = log.file_name().unwrap_or_default();
+            std::fs::copy(&log, dir.join(name))?;
+        }
+        Ok(())
+    }
+
     /// The promise that was broken, if any.
     ///
     /// # Panics
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -1,7 +1,9 @@
 //! A soak under faults: real processes, signals, and a fault proxy, drawn from a seed.
 
 use std::cell::Cell;
+use std::fmt;
 use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,10 +17,55 @@
 use crate::fault_proxy::Fault;
 use crate::platform::callers;
 use crate::platform::callers::CallerJob;
+use crate::platform::fleet;
+use crate::platform::fleet::FIRST_VERSION;
 use crate::platform::fleet::Fleet;
 use crate::platform::fleet::Machine;
 use crate::platform::store::Mood;
 
+/// A fault that was played, or the end of one, and when, from the start of the faults.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// When.
+    pub at: Duration,
+    /// What, in words.
+    pub what: String,
+}
+
+impl fmt::Display for Played {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>8.3} s {}", self.at.as_secs_f64(), self.what)
+    }
+}
+
+/// How to run a soak.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// The seed.
+    pub seed: u64,
+    /// For how long faults come.
+    pub span: Duration,
+    /// How many entries and agents run.
+    pub entries: usize,
+    /// See `entries`.
+    pub agents: usize,
+    /// Where the logs of the processes and the timeline of a run that failed are kept.
+    pub keep: Option<PathBuf>,
+}
+
+impl SoakPlan {
+    /// A small fleet, whose logs are not kept.
+    pub fn small(seed: u64, span: Duration) -> SoakPlan {
+        SoakPlan {
+            seed,
+            span,
+            entries: 3,
+            agents: 4,
+            keep: None,
+        }
+    }
+}
+
 /// What came of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakReport {
@@ -34,51 +81,156 @@
     pub recovered: u64,
 }
 
-const ENTRIES: usize = 3;
-const AGENTS: usize = 4;
+impl SoakReport {
+    /// Whether no promise was broken and the fleet came back.
+    pub fn is_good(&self) -> bool {
+        self.violation.is_none() && self.recovered * 10 >= CALM_JOBS * 8
+    }
+}
+
 /// A caller hands its job in again after this long without an answer.
 const AGAIN: Duration = Duration::from_millis(1300);
 /// Jobs handed in after all faults.
 pub const CALM_JOBS: u64 = 20;
 
-/// Runs a seed for a span with faults, then for some time without. Needs an actix system.
-pub async fn run(binary: &Path, seed: u64, span: Duration) -> SoakReport {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = Fleet::start(binary, ENTRIES, AGENTS).await;
-    let completed = Rc::new(Cell::new(0));
-    let end = Instant::now() + span;
-    let mut jobs = 0;
-    let mut faults = 0;
-    let mut healings: Vec<(Instant, Healing)> = Vec::new();
-    while Instant::now() < end && fleet.violation().is_none() {
-        jobs += 1;
-        spawn_caller(&mut rng, &fleet, &completed, jobs);
-        heal_due(&mut fleet, &mut healings, Instant::now());
-        if rng.random_bool(0.06) {
-            faults += 1;
-            let healing = fault(&mut rng, &mut fleet);
-            let after = Duration::from_millis(rng.random_range(100..2500));
-            healings.push((Instant::now() + after, healing));
+/// How often a new configuration is written, as a share of the callers that come.
+const CHANGES: f64 = 0.02;
+/// A configuration of this many queues takes about 250 KB.
+const MANY_QUEUES: usize = 1500;
+/// An accepted configuration is in force everywhere within this time once nothing is harmed any more.
+const CONFIGURED: Duration = Duration::from_secs(2);
+
+/// A soak at work.
+struct Soak {
+    rng: ChaCha8Rng,
+    /// Draws the changes of the configuration, so that the faults of a seed stay as they are.
+    changes: ChaCha8Rng,
+    fleet: Fleet,
+    completed: Rc<Cell<u64>>,
+    begun: Instant,
+    jobs: u64,
+    faults: u64,
+    version: u64,
+    healings: Vec<(Instant, Healing)>,
+    timeline: Vec<Played>,
+}
+
+/// Runs a plan: a span with faults, then some time without. Needs an actix system.
+pub async fn run(binary: &Path, plan: &SoakPlan) -> SoakReport {
+    let mut soak = Soak {
+        rng: ChaCha8Rng::seed_from_u64(plan.seed),
+        changes: ChaCha8Rng::seed_from_u64(!plan.seed),
+        fleet: Fleet::start(binary, plan.entries, plan.agents).await,
+        completed: Rc::new(Cell::new(0)),
+        begun: Instant::now(),
+        jobs: 0,
+        faults: 0,
+        version: FIRST_VERSION,
+        healings: Vec::new(),
+        timeline: Vec::new(),
+    };
+    soak.trouble(plan.span).await;
+    let configured = soak.come_back().await;
+    let before = soak.completed.get();
+    soak.calm().await;
+    let report = SoakReport {
+        jobs: soak.jobs,
+        completed: soak.completed.get(),
+        faults: soak.faults,
+        violation: soak.fleet.violation().or(configured.err()),
+        recovered: soak.completed.get() - before,
+    };
+    if let Some(keep) = plan.keep.as_ref().filter(|_| !report.is_good()) {
+        soak.keep(&keep.join(plan.seed.to_string()), &report);
+    }
+    report
+}
+
+impl Soak {
+    /// Callers come, and faults, until the span is over or a promise is broken.
+    async fn trouble(&mut self, span: Duration) {
+        let end = self.begun + span;
+        while Instant::now() < end && self.fleet.violation().is_none() {
+            self.call();
+            self.heal_due(Instant::now());
+            if self.rng.random_bool(0.06) {
+                self.faults += 1;
+                let healing = self.fault();
+                let after = Duration::from_millis(self.rng.random_range(100..2500));
+                self.healings.push((Instant::now() + after, healing));
+            }
+            if self.changes.random_bool(CHANGES) {
+                self.change();
+            }
+            let wait = self.rng.random_range(5..60);
+            actix_rt::time::sleep(Duration::from_millis(wait)).await;
         }
-        actix_rt::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
     }
-    let all = Instant::now() + Duration::from_secs(60);
-    heal_due(&mut fleet, &mut healings, all);
-    fleet.wait_until_up().await;
-    actix_rt::time::sleep(Duration::from_secs(3)).await;
-    let before = completed.get();
-    for _ in 0..CALM_JOBS {
-        jobs += 1;
-        spawn_caller(&mut rng, &fleet, &completed, jobs);
-        actix_rt::time::sleep(Duration::from_millis(50)).await;
+
+    /// All faults end; the fleet comes back, with the newest configuration in force.
+    async fn come_back(&mut self) -> Result<(), String> {
+        self.heal_due(Instant::now() + Duration::from_secs(60));
+        self.fleet.wait_until_up().await;
+        actix_rt::time::sleep(CONFIGURED).await;
+        let mut found = Ok(());
+        for entry in &self.fleet.entries {
+            let version = fleet::metric(entry.metrics(), "state", "config_version").await;
+            if version != Some(self.version) {
+                let newest = self.version;
+                let text = format!("{} serves by {version:?}, not by {newest}", entry.ip);
+                found = Err(text);
+            }
+        }
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        found
+    }
+
+    /// Callers come while nothing is harmed.
+    async fn calm(&mut self) {
+        for _ in 0..CALM_JOBS {
+            self.call();
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+    }
+
+    fn call(&mut self) {
+        self.jobs += 1;
+        spawn_caller(&mut self.rng, &self.fleet, &self.completed, self.jobs);
+    }
+
+    /// The operator writes a configuration, a large one in half of the cases.
+    fn change(&mut self) {
+        self.version += self.changes.random_range(1..4);
+        let names: Vec<String> = match self.changes.random_bool(0.5) {
+            true => (0..MANY_QUEUES).map(|n| format!("other-{n}")).collect(),
+            false => Vec::new(),
+        };
+        let others = names.iter().map(String::as_str);
+        let services: Vec<&str> = std::iter::once(fleet::SERVICE).chain(others).collect();
+        let document = fleet::configuration(self.version, &services);
+        self.fleet.store.operator_writes("op/config", &document);
+        self.note(format!(
+            "configuration {} of {} queues",
+            self.version,
+            services.len()
+        ));
     }
-    actix_rt::time::sleep(Duration::from_secs(3)).await;
-    SoakReport {
-        jobs,
-        completed: completed.get(),
-        faults,
-        violation: fleet.violation(),
-        recovered: completed.get() - before,
+
+    fn note(&mut self, what: String) {
+        let at = self.begun.elapsed();
+        self.timeline.push(Played { at, what });
+    }
+
+    /// Keeps the logs of all processes, the timeline and the report.
+    fn keep(&self, dir: &Path, report: &SoakReport) {
+        let lines: Vec<String> = self.timeline.iter().map(Played::to_string).collect();
+        let text = format!("{}\n{report:?}\n", lines.join("\n"));
+        let kept = self.fleet.keep_logs(dir);
+        let kept = kept.and_then(|()| std::fs::write(dir.join("timeline.txt"), text));
+        if let Err(e) = kept {
+            eprintln!("the logs can't be kept in {}: {e}", dir.display());
+        }
     }
 }
 
@@ -89,8 +241,9 @@
         work_ms: [20, 80, 600][rng.random_range(0..3)],
         cpu: rng.random_range(500..1500),
     };
-    let first = fleet.entries[rng.random_range(0..ENTRIES)].callers();
-    let second = fleet.entries[rng.random_range(0..ENTRIES)].callers();
+    let entries = fleet.entries.len();
+    let first = fleet.entries[rng.random_range(0..entries)].callers();
+    let second = fleet.entries[rng.random_range(0..entries)].callers();
     let workers = fleet.workers.clone();
     let completed = completed.clone();
     actix_rt::spawn(async move {
@@ -128,14 +281,19 @@
     Nothing,
 }
 
-fn heal_due(fleet: &mut Fleet, healings: &mut Vec<(Instant, Healing)>, now: Instant) {
-    let due: Vec<Healing> = healings
-        .iter()
-        .filter(|(at, _)| *at <= now)
-        .map(|(_, h)| *h)
-        .collect();
-    healings.retain(|(at, _)| *at > now);
-    for healing in due {
+impl Soak {
+    fn heal_due(&mut self, now: Instant) {
+        let due = self.healings.iter().filter(|(at, _)| *at <= now);
+        let due: Vec<Healing> = due.map(|(_, h)| *h).collect();
+        self.healings.retain(|(at, _)| *at > now);
+        for healing in due {
+            self.note(format!("end: {healing:?}"));
+            self.heal(healing);
+        }
+    }
+
+    fn heal(&mut self, healing: Healing) {
+        let fleet = &mut self.fleet;
         match healing {
             Healing::StartEntry(n) => fleet.entries[n].start(),
             Healing::StartAgent(n) => fleet.agents[n].start(),
@@ -150,69 +308,81 @@
             Healing::Nothing => {}
         }
     }
-}
 
-fn fault(rng: &mut ChaCha8Rng, fleet: &mut Fleet) -> Healing {
-    let entry = rng.random_range(0..ENTRIES);
-    let agent = rng.random_range(0..AGENTS);
-    match rng.random_range(0..12) {
-        0 => {
-            fleet.entries[entry].kill();
-            Healing::StartEntry(entry)
-        }
-        1 => {
-            fleet.agents[agent].kill();
-            Healing::StartAgent(agent)
-        }
-        2 => {
-            fleet.entries[entry].signal(Signal::SIGSTOP);
-            Healing::ContinueEntry(entry)
-        }
-        3 => {
-            fleet.agents[agent].signal(Signal::SIGSTOP);
-            Healing::ContinueAgent(agent)
-        }
-        4 => {
-            let stalled = Fault {
-                stall: true,
-                ..Fault::default()
-            };
-            fleet.proxies[entry].set(stalled);
-            Healing::Proxy(entry)
-        }
-        5 => {
-            let reset = Fault {
-                reset: true,
-                ..Fault::default()
-            };
-            fleet.proxies[entry].set(reset);
-            Healing::Proxy(entry)
-        }
-        6 => {
-            fleet.proxies[entry].pass(Duration::from_millis(rng.random_range(1..60)));
-            Healing::Proxy(entry)
-        }
-        7 => {
-            fleet.store.set_mood(Mood::Busy);
-            Healing::Store
-        }
-        8 => {
-            fleet.store.set_mood(Mood::AnswersLost);
-            Healing::Store
-        }
-        9 => {
-            fleet.workers.lock().unwrap().crash(agent);
-            Healing::Nothing
-        }
-        10 => {
-            fleet.entries.iter_mut().for_each(Machine::kill);
-            fleet.agents.iter_mut().for_each(Machine::kill);
-            Healing::StartAll
-        }
-        _ => {
-            fleet.store.revoke_keys();
-            fleet.store.compact();
-            Healing::Nothing
+    fn fault(&mut self) -> Healing {
+        let entry = self.rng.random_range(0..self.fleet.entries.len());
+        let agent = self.rng.random_range(0..self.fleet.agents.len());
+        let kind = self.rng.random_range(0..12);
+        let (what, healing) = self.play(kind, entry, agent);
+        self.note(what);
+        healing
+    }
+
+    /// Plays a fault; what it is, and how it ends.
+    fn play(&mut self, kind: u32, entry: usize, agent: usize) -> (String, Healing) {
+        let fleet = &mut self.fleet;
+        match kind {
+            0 => {
+                fleet.entries[entry].kill();
+                (format!("entry {entry} killed"), Healing::StartEntry(entry))
+            }
+            1 => {
+                fleet.agents[agent].kill();
+                (format!("agent {agent} killed"), Healing::StartAgent(agent))
+            }
+            2 => {
+                fleet.entries[entry].signal(Signal::SIGSTOP);
+                let healing = Healing::ContinueEntry(entry);
+                (format!("entry {entry} stopped"), healing)
+            }
+            3 => {
+                fleet.agents[agent].signal(Signal::SIGSTOP);
+                let healing = Healing::ContinueAgent(agent);
+                (format!("agent {agent} stopped"), healing)
+            }
+            4 => {
+                let stalled = Fault {
+                    stall: true,
+                    ..Fault::default()
+                };
+                fleet.proxies[entry].set(stalled);
+                (format!("proxy {entry} stalls"), Healing::Proxy(entry))
+            }
+            5 => {
+                let reset = Fault {
+                    reset: true,
+                    ..Fault::default()
+                };
+                fleet.proxies[entry].set(reset);
+                (format!("proxy {entry} resets"), Healing::Proxy(entry))
+            }
+            6 => {
+                let delay = Duration::from_millis(self.rng.random_range(1..60));
+                fleet.proxies[entry].pass(delay);
+                (format!("proxy {entry} {delay:?}"), Healing::Proxy(entry))
+            }
+            7 => {
+                fleet.store.set_mood(Mood::Busy);
+                ("store busy".to_owned(), Healing::Store)
+            }
+            8 => {
+                fleet.store.set_mood(Mood::AnswersLost);
+                ("store loses answers".to_owned(), Healing::Store)
+            }
+            9 => {
+                fleet.workers.lock().unwrap().crash(agent);
+                (format!("worker {agent} crashes"), Healing::Nothing)
+            }
+            10 => {
+                fleet.entries.iter_mut().for_each(Machine::kill);
+                fleet.agents.iter_mut().for_each(Machine::kill);
+                ("all killed".to_owned(), Healing::StartAll)
+            }
+            _ => {
+                fleet.store.revoke_keys();
+                fleet.store.compact();
+                ("keys taken away, history gone".to_owned(), Healing::Nothing)
+            }
         }
     }
 }
