scheduler: a young one does not trust a list of executors that lacks those it has met

The keys of all agents had been taken away in the store; an entry started anew read an empty list, and with an empty list all executors are met. It claimed a job at the two of four that had linked, while its peer had it at work at a third. The link to the peer was up for 0.2 ms, its first message had not come. Ruled out: runs moved off slow workers and the recall of workers (neither is in the log of the job); the claim itself, which both executors confirmed rightly. A linked peer is settled once its first message has come. The soak's fleets take addresses that other processes' fleets do not: 4 soaks at once met once, 'Address already in use'.

--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -98,7 +98,10 @@
     /// to connect here.
     fn peers_settled(&self) -> bool {
         let (now, lapse) = (self.now, self.setup.lapse);
-        let settled = |p: &Peer| p.link.is_some() || self.silence(p.heard) >= lapse;
+        let settled = |p: &Peer| match p.link {
+            Some(_) => p.met,
+            None => self.silence(p.heard) >= lapse,
+        };
         let heard = |name: &String| self.silence(self.last_heard(name)) >= lapse;
         now.since(self.present_since) >= self.setup.policy.claims.meeting
             && self.peers.values().all(settled)
@@ -115,7 +118,23 @@
     /// started has left runs at its worker that end by themselves only.
     fn has_met_roster(&self) -> bool {
         let roster = self.roster.as_ref();
-        roster.is_some_and(|names| names.iter().all(|name| self.is_met(name)))
+        let met = roster.is_some_and(|names| names.iter().all(|name| self.is_met(name)));
+        met && !self.lacks_executors()
+    }
+
+    /// Whether the store's list lacks an executor that is linked here: keys can be missing while their
+    /// owners live, so others may be missing as well. Without this a task ran twice: the list was empty,
+    /// two of four executors were linked, and a peer had the task at work at a third.
+    fn lacks_executors(&self) -> bool {
+        let listed = |name: &String| self.roster.as_ref().is_some_and(|r| r.contains(name));
+        let mut linked = self.executors.values().filter(|e| e.link.is_some());
+        linked.any(|e| !listed(&e.name))
+    }
+
+    /// Whether the store's list of the executors should be read again soon: this scheduler has just
+    /// started, and the list is not known or lacks some.
+    pub fn wants_roster(&self) -> bool {
+        self.is_young() && (self.roster.is_none() || self.lacks_executors())
     }
 
     /// Whether a claim made now reaches every executor that it must reach.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -22,6 +22,8 @@
     incarnation: u64,
     address: String,
     pub heard: Mono,
+    /// Whether its first message on a link has come, which says what it has at work.
+    pub met: bool,
     /// When its last link broke, though it had been heard just before and not said that it leaves.
     pub lost: Option<Mono>,
     leaving: bool,
@@ -127,6 +129,7 @@
         peer.incarnation = greeting.incarnation;
         peer.address.clone_from(&greeting.address);
         peer.heard = now;
+        peer.met = false;
         peer.leaving = false;
         peer.version = 0;
         peer.out = proto::PeerUpdate {
@@ -206,6 +209,7 @@
         self.note_gap();
         if let Some(peer) = self.peers.get_mut(name) {
             peer.heard = now;
+            peer.met = true;
             peer.version = update.catalog_version;
             peer.leaving = update.leaving;
         }
--- a/lib/tests/runner/test_scheduler/claims.rs
+++ b/lib/tests/runner/test_scheduler/claims.rs
@@ -334,3 +334,69 @@
     bench.submit(1, 9, 1);
     assert_eq!(bench.starts(), [(9, 0, 1)]);
 }
+
+/// Symptom: a task ran twice at once, in one of twelve plays of a soak's seed.
+///
+/// Sequence: the keys of all agents were taken away in the store; an entry was started anew, read that there are no
+/// executors, and linked to two of four. 135 ms after its start a job came to it that its peer had at work at a third
+/// executor. It claimed the job at the two, which confirmed, and began it.
+///
+/// Cause: with an empty list of the executors, all of them had been met. The store's list is no lower bound: keys can be
+/// missing while their owners live.
+///
+/// What settled it: `SC222 0 executors, 0 of them not met`, then `SC405 ... at 2` at the entry, `SC406 ... at agent-3` at its peer
+/// 420 ms earlier, and `SC434` at agent-3 25 ms later.
+#[test]
+fn test_scheduler_that_is_young_does_not_trust_a_list_without_those_it_has_met() {
+    let mut bench = young_with_roster(&[]);
+    assert_eq!(
+        bench.starts(),
+        [],
+        "there are executors that it has not met"
+    );
+    for _ in 0..45 {
+        bench.report(Vec::new());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)], "by now it has ended by itself");
+}
+
+/// The same fault, seen from the other names that were known: those that a peer tells.
+#[test]
+fn test_scheduler_that_is_young_waits_for_the_executors_of_its_peers() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(PEER, "s2", false);
+    bench.scheduler.set_roster(bench.now, vec!["e1".to_owned()]);
+    bench.peer(proto::PeerUpdate {
+        executors: vec!["e1".to_owned(), "e2".to_owned()],
+        ..proto::PeerUpdate::default()
+    });
+    bench.submit_of(1, 7, 1, 2000);
+    bench.report(Vec::new());
+    for _ in 0..25 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.pass(20);
+        bench.peer(proto::PeerUpdate::default());
+    }
+    assert_eq!(bench.starts(), [], "the peer may have it at work at e2");
+}
+
+/// A link that has just come up says nothing: what its peer has at work comes with the first message.
+#[test]
+fn test_scheduler_that_is_young_waits_for_the_first_word_of_a_peer() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.scheduler.set_roster(bench.now, vec!["e1".to_owned()]);
+    bench.submit_of(1, 7, 1, 2000);
+    bench.report(Vec::new());
+    bench.link(PEER, "s2", false);
+    for _ in 0..10 {
+        confirm_on(&mut bench, EXECUTOR);
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "the peer has not said what it has");
+    bench.peer(proto::PeerUpdate::default());
+    bench.pass(20);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -9,7 +9,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -183,7 +183,18 @@
     json!({"version": version, "routes": routes, "services": [], "limits": {}})
 }
 
-static NETWORK: AtomicU8 = AtomicU8::new(0);
+/// Fleets of one process that may run at once.
+const FLEETS: u32 = 16;
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+
+/// The middle of a fleet's loopback addresses. Fleets of one process do not meet, nor those of
+/// processes whose numbers are less than 3,200 apart.
+fn network() -> [u8; 2] {
+    let process = std::process::id();
+    let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % FLEETS;
+    let second = (process / 200 % 16) * FLEETS + fleet;
+    [(process % 200 + 20) as u8, second as u8]
+}
 
 impl Fleet {
     /// Starts a fleet and waits until its entries are ready and its agents linked.
@@ -192,9 +203,7 @@
     ///
     /// When it does not come up within half a minute.
     pub async fn start(binary: &Path, entries: usize, agents: usize) -> Fleet {
-        // Fleets of one process that run at once, and of other processes, do not meet.
-        let place = NETWORK.fetch_add(1, Ordering::Relaxed);
-        let base = [(std::process::id() % 200 + 20) as u8, place];
+        let base = network();
         let dir = std::env::temp_dir().join(format!("stackcourse-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let ip = |n: usize| Ipv4Addr::new(127, base[0], base[1], n as u8 + 1);
