dispatch-load: links with a bandwidth, configurations in series, executors that restart; how soon a run is well again

Cause: the model could not show a fleet that collapses, so nothing held the mend of the configuration's spread under load.

--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -15,6 +15,10 @@
 use stackcourse_testutils::dispatch::load::KindReport;
 use stackcourse_testutils::dispatch::load::LoadPlan;
 use stackcourse_testutils::dispatch::load::LoadReport;
+use stackcourse_testutils::dispatch::load::Trouble;
+
+/// From this share of the work done in time on, a window is well.
+const WELL: f64 = 0.9;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -37,6 +41,9 @@
 fn command() -> Command {
     let late = "Orders of a hundred that are carried out late";
     let slow = "Workers that take five times as long in the middle half of the run";
+    let mbit = "Mbit/s of two thirds of the schedulers' machines; 0 for no limit";
+    let queues = "Queues of a configuration that is accepted each second of the middle half";
+    let restarts = "Executors that are restarted in the middle half, one each 200 ms";
     Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
         .arg(
@@ -52,6 +59,9 @@
         .arg(number("seeds", "1", "How many seeds"))
         .arg(number("late", "0", late))
         .arg(number("slow", "0", slow))
+        .arg(number("mbit", "0", mbit))
+        .arg(number("queues", "0", queues))
+        .arg(number("restarts", "0", restarts))
         .arg(
             Arg::new("set")
                 .long("set")
@@ -106,6 +116,11 @@
         workers: value(matches, "workers") as usize,
         late: value(matches, "late") as f64 / 100.0,
         slow: value(matches, "slow") as usize,
+        trouble: Trouble {
+            link_mbit: value(matches, "mbit"),
+            queues: value(matches, "queues") as usize,
+            restarts: value(matches, "restarts") as usize,
+        },
         policy,
     };
     let seeds = first..first + value(matches, "seeds").max(1);
@@ -129,6 +144,13 @@
         let refused = share(|k| k.refused);
         print!(" {}: {in_time:5.1} {late:5.1} {refused:5.1} ", kind.name);
     }
+    let trouble: f64 = reports.iter().map(LoadReport::goodput_in_trouble).sum();
+    let back = reports.iter().map(|r| r.time_until_back(WELL)).max();
+    let back = back.unwrap_or_default().as_secs_f64();
+    print!(
+        " middle half: {:5.3}, well after {back:.1} s ",
+        trouble / count
+    );
     let broken = reports.iter().find_map(|r| r.violation.clone());
     println!("{}", broken.unwrap_or_default());
 }
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -16,6 +16,7 @@
 
 use crate::dispatch::callers::OpenJob;
 use crate::dispatch::callers::SERVICE;
+use crate::dispatch::network::Node;
 use crate::dispatch::witness::SeenJob;
 use crate::dispatch::world::World;
 
@@ -89,10 +90,35 @@
     pub late: f64,
     /// How many workers take [`SLOW_PACE`] times as long in the middle half of the span.
     pub slow: usize,
+    /// What goes wrong in the middle half of the span, beside slow workers.
+    pub trouble: Trouble,
     /// The figures that decide.
     pub policy: Policy,
 }
 
+/// Trouble of a run; none by default.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// What the machines of two thirds of the schedulers can send and receive, in Mbit/s, all the time;
+    /// 0 for no limit. The others have [`LARGE_TIMES`] as much.
+    pub link_mbit: u64,
+    /// A new configuration of this many queues is accepted each second; 0 for none.
+    pub queues: usize,
+    /// Executors that are restarted, one each [`REPLACE_GAP_US`].
+    pub restarts: usize,
+}
+
+/// How many times the bandwidth of a small scheduler's machine a large one's has.
+const LARGE_TIMES: u64 = 8;
+/// See [`Trouble::restarts`]; in microseconds.
+const REPLACE_GAP_US: u64 = 200_000;
+/// How long a restarted executor is away, in microseconds.
+const AWAY_US: u64 = 500_000;
+/// Configurations are accepted so far apart, in microseconds.
+const CHANGE_GAP_US: u64 = 1_000_000;
+/// The span over which goodput is taken to tell when a run is well again, in microseconds.
+const WINDOW_US: u64 = 500_000;
+
 /// What became of the jobs of one kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct KindReport {
@@ -113,11 +139,31 @@
 pub struct LoadReport {
     /// By kind, in the order of [`KINDS`].
     pub kinds: [KindReport; 3],
+    /// The work that was offered and that was done in time, by windows of half a second.
+    pub windows: Vec<(f64, f64)>,
     /// The promise that was broken, if any.
     pub violation: Option<String>,
 }
 
 impl LoadReport {
+    /// The share of the work offered in the middle half of the run that was done in time.
+    pub fn goodput_in_trouble(&self) -> f64 {
+        let count = self.windows.len();
+        let middle = &self.windows[count / 4..count * 3 / 4];
+        let offered: f64 = middle.iter().map(|w| w.0).sum();
+        let done: f64 = middle.iter().map(|w| w.1).sum();
+        done / offered
+    }
+
+    /// How long after the middle half of the run a window was below `share`; zero if none was.
+    pub fn time_until_back(&self, share: f64) -> Duration {
+        let count = self.windows.len();
+        let after = &self.windows[count * 3 / 4..];
+        let bad = after.iter().rposition(|w| w.1 < share * w.0);
+        let windows = bad.map_or(0, |at| at as u64 + 1);
+        Duration::from_micros(windows * WINDOW_US)
+    }
+
     /// The share of the offered work that was done in time.
     pub fn goodput(&self) -> f64 {
         let offered: f64 = self.kinds.iter().map(|k| k.work.0).sum();
@@ -134,7 +180,7 @@
     work: f64,
 }
 
-fn catalog() -> Catalog {
+fn catalog(version: u64, more: usize) -> Catalog {
     let queue = |kind: &Kind| Queue {
         name: kind.name.to_owned(),
         service: SERVICE.to_owned(),
@@ -144,9 +190,19 @@
         objective_ms: OBJECTIVE_MS,
         ..Queue::default()
     };
+    let other = |number: usize| Queue {
+        name: format!("other-{number}"),
+        host: format!("host-{number}.example"),
+        path_prefix: format!("/other-{number}/"),
+        ..queue(&KINDS[0])
+    };
     Catalog {
-        version: 2,
-        queues: KINDS.iter().map(queue).collect(),
+        version,
+        queues: KINDS
+            .iter()
+            .map(queue)
+            .chain((0..more).map(other))
+            .collect(),
         ..Catalog::default()
     }
 }
@@ -157,9 +213,10 @@
         plan.seed,
         plan.schedulers,
         plan.workers,
-        catalog(),
+        catalog(2, 0),
         plan.policy,
     );
+    set_links(&mut world, &plan);
     for number in 0..plan.workers {
         world.workers[number].capacity = SIZES[number % 3];
     }
@@ -174,16 +231,61 @@
     let span = plan.span.as_micros() as u64;
     let end = begin + span;
     let mut offered = Vec::new();
+    let mut harm = Harm::default();
     while world.now < end {
         let gap = -world.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / per_s;
         world.run(Duration::from_secs_f64(gap));
         let middle = begin + span / 4..begin + span * 3 / 4;
         let slow = middle.contains(&world.now);
         set_paces(&mut world, &plan, slow);
+        if slow {
+            harm.play(&mut world, &plan);
+        }
         offered.push(offer(&mut world, plan.schedulers));
     }
     world.run(Duration::from_secs(6));
-    report(&world, &offered)
+    report(&world, &offered, begin)
+}
+
+fn set_links(world: &mut World, plan: &LoadPlan) {
+    let small = plan.trouble.link_mbit * 1_000_000 / 8;
+    if small == 0 {
+        return;
+    }
+    for n in 0..plan.schedulers {
+        let rate = if n % 3 == 0 {
+            small * LARGE_TIMES
+        } else {
+            small
+        };
+        world.network.limit(Node::Scheduler(n), rate);
+    }
+}
+
+/// What has gone wrong so far.
+#[derive(Default)]
+struct Harm {
+    version: u64,
+    changed: u64,
+    restarts: usize,
+    restarted: u64,
+}
+
+impl Harm {
+    /// Plays what is due.
+    fn play(&mut self, world: &mut World, plan: &LoadPlan) {
+        let trouble = plan.trouble;
+        if trouble.queues > 0 && world.now >= self.changed + CHANGE_GAP_US {
+            self.changed = world.now;
+            self.version += 1;
+            world.accept_catalog(catalog(2 + self.version, trouble.queues), |_| true);
+        }
+        if self.restarts < trouble.restarts && world.now >= self.restarted + REPLACE_GAP_US {
+            self.restarted = world.now;
+            world.kill(Node::Executor(self.restarts % plan.workers), false, AWAY_US);
+            self.restarts += 1;
+        }
+    }
 }
 
 /// Gives each worker its speed; the slow ones are slow now or not.
@@ -276,17 +378,22 @@
     }
 }
 
-fn report(world: &World, offered: &[Offered]) -> LoadReport {
+fn report(world: &World, offered: &[Offered], begin: u64) -> LoadReport {
+    let mut windows = Vec::new();
     let mut kinds = [KindReport::default(); 3];
     for job in offered {
         let kind = &mut kinds[job.kind];
         kind.offered += 1;
         kind.work.0 += job.work;
+        let window = ((job.at - begin) / WINDOW_US) as usize;
+        windows.resize(windows.len().max(window + 1), (0.0, 0.0));
+        windows[window].0 += job.work;
         let mut answers = world.answers.iter().filter(|a| a.1 == job.number);
         match answers.next() {
             Some((at, _, JobOutcome::Completed)) if at - job.at <= job.objective_us => {
                 kind.in_time += 1;
                 kind.work.1 += job.work;
+                windows[window].1 += job.work;
             }
             Some((_, _, JobOutcome::Completed)) => kind.late += 1,
             Some((_, _, JobOutcome::Refused(_))) => kind.refused += 1,
@@ -295,6 +402,7 @@
     }
     LoadReport {
         kinds,
+        windows,
         violation: world.witness.violation.clone(),
     }
 }
--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -5,6 +5,7 @@
 use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_testutils::dispatch::load;
 use stackcourse_testutils::dispatch::load::LoadPlan;
+use stackcourse_testutils::dispatch::load::Trouble;
 
 fn plan(policy: Policy) -> LoadPlan {
     LoadPlan {
@@ -15,6 +16,7 @@
         workers: 11,
         late: 0.0,
         slow: 2,
+        trouble: Trouble::default(),
         policy,
     }
 }
@@ -33,3 +35,28 @@
     assert!(told > unmoved, "{told} with moves, {unmoved} without");
     assert!(unmoved > blind, "{unmoved} when told, {blind} when not");
 }
+
+/// A configuration of 1,500 queues each second, ten schedulers of which six are on 25 Mbit/s, twenty executors
+/// restarted. While each peer that was behind was sent the whole configuration on each heartbeat, nothing of the
+/// work was done in time meanwhile (0.000), and 0.2 of it in all.
+#[test]
+fn test_dispatch_load_goes_on_while_large_configurations_come() {
+    let plan = LoadPlan {
+        load: 0.45,
+        schedulers: 10,
+        workers: 30,
+        slow: 0,
+        trouble: Trouble {
+            link_mbit: 25,
+            queues: 1500,
+            restarts: 20,
+        },
+        ..plan(Policy::default())
+    };
+    let report = load::run(plan);
+    assert_eq!(report.violation, None);
+    let goodput = report.goodput_in_trouble();
+    assert!(goodput > 0.85, "{goodput} of the work in time meanwhile");
+    let back = report.time_until_back(0.9);
+    assert!(back <= Duration::from_secs(2), "well again after {back:?}");
+}
