links: log lines name the process at the other end

Cause: SC113 and an agent's SC111 named a link by its number, so the walk from a broken link to its cause needed a second line. Change: both name the other process; an agent tells only of the link that a session uses. Comments of the gauges say what they hold.

--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -102,8 +102,8 @@
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender);
     /// A message came in.
     fn message(&self, link: LinkId, body: Body);
-    /// A link is down.
-    fn down(&self, link: LinkId, end: LinkEnd);
+    /// The link to this process is down.
+    fn down(&self, link: LinkId, theirs: &proto::Greeting, end: LinkEnd);
     /// What passes on the links of this process.
     fn traffic(&self) -> Rc<Traffic>;
 }
@@ -215,7 +215,7 @@
         }
     };
     writer.abort();
-    listener.down(link, end);
+    listener.down(link, &theirs, end);
 }
 
 type WireSink = futures::stream::SplitSink<Wire, Bytes>;
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -219,9 +219,9 @@
         }
     }
 
-    fn down(&self, link: LinkId, end: LinkEnd) {
+    fn down(&self, link: LinkId, theirs: &proto::Greeting, end: LinkEnd) {
         self.inner.links.remove(link);
-        self.log(Kind::LinkEnded, format!("link {}: {end}", link.0));
+        self.log(Kind::LinkEnded, format!("{}: {end}", theirs.name));
         self.with(|e, _| e.link_down(link));
     }
 
--- a/lib/daemon/src/dispatch/lag.rs
+++ b/lib/daemon/src/dispatch/lag.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// A delay of the loop from here on is logged. Half the silence after which links are closed, so
-/// that the line comes before the harm.
+/// A delay of the loop from here on is logged: less than a third of the silence of 700 ms after which
+/// others close their links, so that the line comes before the harm.
 const LATE: Duration = Duration::from_millis(200);
 /// Lines about that are at least so far apart.
 const LINE_GAP: Duration = Duration::from_secs(1);
@@ -14,9 +14,11 @@
 #[derive(Debug, Default)]
 pub struct LoopLag {
     last: Cell<Duration>,
-    /// The longest since the metrics were last read, and since the last log line.
+    /// The longest since the metrics were last read.
     longest: Cell<Duration>,
+    /// The longest since the last log line.
     unlogged: Cell<Duration>,
+    /// When the last log line was due.
     logged: Cell<Option<Instant>>,
 }
 
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -248,9 +248,9 @@
         self.with(|s, now| s.message(now, link, body));
     }
 
-    fn down(&self, link: LinkId, end: LinkEnd) {
+    fn down(&self, link: LinkId, theirs: &proto::Greeting, end: LinkEnd) {
         self.inner.links.remove(link);
-        self.log(Kind::LinkEnded, format!("link {}: {end}", link.0));
+        self.log(Kind::LinkEnded, format!("{}: {end}", theirs.name));
         self.with(|s, now| s.link_down(now, link));
     }
 
--- a/lib/daemon/src/dispatch/traffic.rs
+++ b/lib/daemon/src/dispatch/traffic.rs
@@ -55,9 +55,10 @@
         self.received.count(kind_of(body), bytes);
     }
 
-    /// Counts a frame that is to be sent; it counts as waiting until it is dropped.
-    pub fn enqueue(self: &Rc<Traffic>, kind: &Body, bytes: Bytes) -> Outgoing {
-        self.sent.count(kind_of(kind), bytes.len());
+    /// Counts a frame that is to be sent, and its encoded form; it counts as waiting until it is
+    /// dropped.
+    pub fn enqueue(self: &Rc<Traffic>, body: &Body, bytes: Bytes) -> Outgoing {
+        self.sent.count(kind_of(body), bytes.len());
         self.waiting_frames.set(self.waiting_frames.get() + 1);
         self.waiting_bytes
             .set(self.waiting_bytes.get() + bytes.len());
--- a/lib/daemon/tests/runner/test_channel.rs
+++ b/lib/daemon/tests/runner/test_channel.rs
@@ -48,7 +48,7 @@
 
     fn message(&self, _link: LinkId, _body: Body) {}
 
-    fn down(&self, _link: LinkId, end: LinkEnd) {
+    fn down(&self, _link: LinkId, _theirs: &proto::Greeting, end: LinkEnd) {
         self.ended_here.set(matches!(end, LinkEnd::Here));
     }
 
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -97,10 +97,12 @@
     /// A link is down. What runs for its scheduler goes on until the lease is over.
     pub fn link_down(&mut self, link: LinkId) {
         let lost = |s: &&mut Session| s.link == Some(link);
-        if let Some(session) = self.sessions.values_mut().find(lost) {
-            session.link = None;
-        }
-        self.log(Kind::LinkDown, format!("link {}", link.0));
+        let Some(session) = self.sessions.values_mut().find(lost) else {
+            return;
+        };
+        session.link = None;
+        let detail = format!("scheduler {}", session.name);
+        self.log(Kind::LinkDown, detail);
     }
 
     /// Orders from a scheduler.
