--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -34,6 +34,10 @@
     fn confirmed(&self) {}
     /// Writes a log line.
     fn log(&self, kind: Kind, detail: String);
+    /// The longest pause between tries while the store does not answer.
+    fn longest_pause(&self) -> Duration {
+        RETRY.1
+    }
 }
 
 /// Follows all keys that begin with a prefix, for as long as the process lives. `wait` is how
@@ -59,8 +63,9 @@
             }
             Err(error) => note_away(&follower, &away, prefix, &error),
         }
-        actix_rt::time::sleep(jitter(pause)).await;
-        pause = (pause * 2).min(RETRY.1);
+        let longest = follower.longest_pause();
+        actix_rt::time::sleep(jitter(pause.min(longest))).await;
+        pause = (pause * 2).min(longest);
     }
 }
 
