soak: a fleet takes a place that is free

Change: places are tried until one is free, 51,200 of them. The addresses of entries and agents have names. Conclusion: a test tool; the programs are unchanged.

--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -39,6 +40,10 @@
 const WORKER_PORT: u16 = 8165;
 const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 8169;
+/// The numbers of the first entry and the first agent among a fleet's machines.
+const FIRST_ENTRY: usize = 10;
+/// See [`FIRST_ENTRY`].
+const FIRST_AGENT: usize = 30;
 /// The configuration that a fleet starts with.
 pub const FIRST_VERSION: u64 = 3;
 /// The service of the fleet.
@@ -183,17 +188,32 @@
     json!({"version": version, "routes": routes, "services": [], "limits": {}})
 }
 
-/// Fleets of one process that may run at once.
-const FLEETS: u32 = 16;
+/// Places for fleets: the middle two numbers of loopback addresses.
+const PLACES: u32 = 200 * 256;
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
-/// The middle of a fleet's loopback addresses. Fleets of one process do not meet, nor those of
-/// processes whose numbers are less than 3,200 apart.
+/// The middle of a fleet's loopback addresses: a place that no fleet of this or another process uses.
 fn network() -> [u8; 2] {
-    let process = std::process::id();
-    let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % FLEETS;
-    let second = (process / 200 % 16) * FLEETS + fleet;
-    [(process % 200 + 20) as u8, second as u8]
+    let first = std::process::id().wrapping_mul(256) % PLACES;
+    loop {
+        let fleet = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let place = (first + fleet) % PLACES;
+        let base = [(place / 256) as u8 + 20, (place % 256) as u8];
+        if is_free(base) {
+            return base;
+        }
+    }
+}
+
+/// Whether nothing listens where a fleet's store and its first proxy would.
+fn is_free(base: [u8; 2]) -> bool {
+    let free = |number, port| TcpListener::bind((address(base, number), port)).is_ok();
+    free(0, STORE_PORT) && free(FIRST_ENTRY, PROXY_PORT)
+}
+
+/// The address of a machine of the fleet at this place.
+fn address(base: [u8; 2], number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, base[0], base[1], number as u8 + 1)
 }
 
 impl Fleet {
@@ -206,7 +226,7 @@
         let base = network();
         let dir = std::env::temp_dir().join(format!("stackcourse-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
-        let ip = |n: usize| Ipv4Addr::new(127, base[0], base[1], n as u8 + 1);
+        let ip = |n: usize| address(base, n);
         let store_state = PlatformStoreState::default();
         let first = configuration(FIRST_VERSION, &[SERVICE]);
         store_state.operator_writes("op/config", &first);
@@ -223,7 +243,7 @@
             _stand_ins: Vec::new(),
         };
         for number in 0..entries {
-            let at = ip(10 + number);
+            let at = ip(FIRST_ENTRY + number);
             let own = SocketAddr::from((at, PEER_PORT));
             let listen = SocketAddr::from((at, PROXY_PORT));
             fleet.proxies.push(FaultProxy::start(listen, own));
@@ -237,7 +257,7 @@
             fleet.entries.push(machine);
         }
         for number in 0..agents {
-            let at = ip(30 + number);
+            let at = ip(FIRST_AGENT + number);
             let beats = SocketAddr::from((at, BEATS_PORT));
             let worker = SocketAddr::from((at, WORKER_PORT));
             stand_ins.push(workers::start(worker, beats, shared.clone(), number));
