scheduler: each end of a link is told of a member once

Cause: every scheduler told all members to every executor and peer once a second. In a fleet of 55 and 240 that is 295 copies of some 1.6 KB a second at each entry; on the small machines (25 Mbit/s) 3.8 Mbit/s, and most of what crosses between zones.

Ruled out: a digest of the list a link (links keep their order and lose nothing while they are up, so a place in the list is enough).

The model counts frames and bytes of each process and spreads processes over zones; looking for an open link no longer passes over all of them. The field `reports.members_ms` is gone.

--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -140,8 +140,6 @@
         claim_gap: ms = 10, 0..=1000;
         /// Announcements of jobs to peers are gathered for so long.
         news_gap: ms = 15, 0..=1000;
-        /// Members are told to every link this often.
-        members: ms = 1000, 10..=600_000;
     }
 }
 
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -11,6 +11,7 @@
 mod ends;
 mod fleet;
 mod jobs;
+mod members;
 mod pace;
 mod peers;
 mod placing;
@@ -33,6 +34,7 @@
 use crate::dispatch::scheduler::fleet::ExecutorKey;
 use crate::dispatch::scheduler::fleet::ExecutorView;
 use crate::dispatch::scheduler::jobs::Job;
+use crate::dispatch::scheduler::members::Members;
 use crate::dispatch::scheduler::peers::Following;
 use crate::dispatch::scheduler::peers::Peer;
 use crate::dispatch::timings::JobTimings;
@@ -145,8 +147,7 @@
     gap: Mono,
     /// The executors that there are, by the store, once that is known.
     roster: Option<BTreeSet<String>>,
-    members: BTreeMap<String, String>,
-    members_told: Mono,
+    members: Members,
     /// How long tasks take against their estimates, by queue.
     learned: HashMap<String, f64>,
     /// When the process ends, once it is leaving.
@@ -183,8 +184,7 @@
             doubt_stale: false,
             gap: Mono::default(),
             roster: None,
-            members: BTreeMap::new(),
-            members_told: Mono::default(),
+            members: Members::default(),
             learned: HashMap::new(),
             leaving: None,
             last_taken: Mono::default(),
@@ -372,32 +372,15 @@
     /// Names members that were learned elsewhere.
     pub fn add_members(&mut self, now: Mono, members: Vec<proto::Member>) {
         self.enter(now);
-        let mut fresh = Vec::new();
-        for member in members {
-            let own = member.name == self.setup.name || member.address == self.setup.address;
-            let known = self.members.get(&member.name) == Some(&member.address);
-            if !own && !known {
-                self.members
-                    .insert(member.name.clone(), member.address.clone());
-                fresh.push(member);
-            }
-        }
+        let own = (&self.setup.name, &self.setup.address);
+        let others = members.into_iter();
+        let others = others.filter(|m| m.name != *own.0 && m.address != *own.1);
+        let fresh: Vec<proto::Member> = others.filter(|m| self.members.note(m)).collect();
         if !fresh.is_empty() {
-            self.members_told = Mono::default();
             self.actions.push(Action::Dial(fresh));
         }
     }
 
-    fn member_list(&self) -> Vec<proto::Member> {
-        let own = (&self.setup.name, &self.setup.address);
-        let all = std::iter::once(own).chain(&self.members);
-        let member = |(name, address): (&String, &String)| proto::Member {
-            name: name.clone(),
-            address: address.clone(),
-        };
-        all.map(member).collect()
-    }
-
     /// The greeting to executors and peers.
     pub fn greeting(&self) -> proto::Greeting {
         proto::Greeting {
@@ -412,18 +395,13 @@
     /// Sends what has been gathered for executors and peers.
     fn flush(&mut self) {
         let now = self.now;
-        let due = now.since(self.members_told) >= self.setup.policy.reports.members;
-        let members = if due { self.member_list() } else { Vec::new() };
-        if due {
-            self.members_told = now;
-        }
         for executor in self.executors.values_mut() {
-            if let Some((link, orders)) = executor.due_orders(now, &members) {
+            if let Some((link, orders)) = executor.due_orders(now, &self.members) {
                 let body = proto::frame::Body::Orders(orders);
                 self.actions.push(Action::Send(link, Box::new(body)));
             }
         }
-        self.flush_peers(&members);
+        self.flush_peers();
     }
 
     fn log(&mut self, kind: Kind, detail: String) {
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -7,6 +7,8 @@
 
 use super::Action;
 use super::Scheduler;
+use super::members::Members;
+use super::members::Told;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::Free;
@@ -45,6 +47,7 @@
     pub placed: BTreeMap<TaskName, u32>,
     pub orders: proto::Orders,
     last_orders: Mono,
+    members_told: Told,
     seen_ends: u64,
     pub last_trial: Mono,
     /// Whether it takes much longer than the others.
@@ -74,6 +77,7 @@
             placed: BTreeMap::new(),
             orders: proto::Orders::default(),
             last_orders: Mono::default(),
+            members_told: Told::default(),
             seen_ends: 0,
             last_trial: Mono::default(),
             slow: false,
@@ -100,11 +104,7 @@
     }
 
     /// The orders to send now: what was gathered, or a heartbeat if one is due.
-    pub fn due_orders(
-        &mut self,
-        now: Mono,
-        members: &[proto::Member],
-    ) -> Option<(LinkId, proto::Orders)> {
+    pub fn due_orders(&mut self, now: Mono, members: &Members) -> Option<(LinkId, proto::Orders)> {
         let link = self.link?;
         let orders = &self.orders;
         let urgent = !(orders.starts.is_empty() && orders.stops.is_empty());
@@ -113,7 +113,7 @@
         let due = urgent
             || (claims && gap >= self.policy.reports.claim_gap)
             || gap >= self.policy.reports.heartbeat;
-        if !due && members.is_empty() {
+        if !due {
             return None;
         }
         let mut orders = std::mem::take(&mut self.orders);
@@ -123,7 +123,7 @@
         }
         orders.echo_us = self.clock_us;
         orders.seen_ends = self.seen_ends;
-        orders.members = members.to_vec();
+        orders.members = members.news(&mut self.members_told);
         self.last_orders = now;
         Some((link, orders))
     }
@@ -174,6 +174,8 @@
         executor.sequence = 0;
         executor.sent.clear();
         executor.orders = proto::Orders::default();
+        executor.last_orders = Mono::default();
+        executor.members_told = Told::default();
         self.log(Kind::LinkUp, format!("executor {}", greeting.name));
         self.refresh_doubt();
         self.claim_at(key);
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -5,6 +5,7 @@
 use super::Action;
 use super::CallerId;
 use super::Scheduler;
+use super::members::Told;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
@@ -30,6 +31,7 @@
     pub version: u64,
     out: proto::PeerUpdate,
     last_sent: Mono,
+    members_told: Told,
 }
 
 /// A job of a peer that callers here wait for.
@@ -138,6 +140,7 @@
             ..proto::PeerUpdate::default()
         };
         peer.last_sent = Mono::default();
+        peer.members_told = Told::default();
         let member = proto::Member {
             name: greeting.name.clone(),
             address: greeting.address.clone(),
@@ -381,7 +384,7 @@
     }
 
     /// Sends the peers their news and heartbeats.
-    pub(super) fn flush_peers(&mut self, members: &[proto::Member]) {
+    pub(super) fn flush_peers(&mut self) {
         let now = self.now;
         let reports = self.setup.policy.reports;
         let version = self.version();
@@ -399,12 +402,12 @@
                 && !out.catalog_wanted);
             let gap = now.since(peer.last_sent);
             let news = !out.jobs.is_empty() && gap >= reports.news_gap;
-            if !urgent && !news && members.is_empty() && gap < reports.heartbeat {
+            if !urgent && !news && gap < reports.heartbeat {
                 continue;
             }
             let mut update = std::mem::take(&mut peer.out);
             update.catalog_version = version;
-            update.members = members.to_vec();
+            update.members = self.members.news(&mut peer.members_told);
             update.leaving = leaving;
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
--- a/lib/testutils/src/dispatch/network.rs
+++ b/lib/testutils/src/dispatch/network.rs
@@ -67,6 +67,19 @@
     }
 }
 
+fn pair(a: Node, b: Node) -> (Node, Node) {
+    (a.min(b), a.max(b))
+}
+
+/// What a process has sent and received since counting began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Frames, sent and received.
+    pub frames: [u64; 2],
+    /// Their bytes without headers, sent and received.
+    pub bytes: [u64; 2],
+}
+
 /// All links, and the cuts.
 #[derive(Clone, Debug, Default)]
 pub struct Network {
@@ -75,10 +88,36 @@
     /// Directions in which nothing passes.
     pub cuts: BTreeSet<(Node, Node)>,
     uplinks: BTreeMap<Node, Uplink>,
+    loads: BTreeMap<Node, Load>,
+    /// The links that were opened between two processes, by their pair in order.
+    pairs: BTreeMap<(Node, Node), Vec<LinkId>>,
     next: u64,
 }
 
 impl Network {
+    /// Begins to count anew.
+    pub fn count_anew(&mut self) {
+        self.loads.clear();
+    }
+
+    fn pair(a: Node, b: Node) -> (Node, Node) {
+        (a.min(b), a.max(b))
+    }
+
+    /// What a process has sent and received.
+    pub fn load_of(&self, node: Node) -> Load {
+        self.loads.get(&node).copied().unwrap_or_default()
+    }
+
+    /// Counts a frame from one process to another.
+    pub fn count(&mut self, from: Node, to: Node, bytes: u64) {
+        for (way, node) in [from, to].into_iter().enumerate() {
+            let load = self.loads.entry(node).or_default();
+            load.frames[way] += 1;
+            load.bytes[way] += bytes;
+        }
+    }
+
     /// Limits what a process's machine can send and receive; the others have no limit.
     pub fn limit(&mut self, node: Node, bytes_per_s: u64) {
         let uplink = Uplink {
@@ -118,13 +157,14 @@
             closed: [false; 2],
         };
         self.wires.insert(link, wire);
+        self.pairs.entry(pair(from, to)).or_default().push(link);
         link
     }
 
     /// Whether an open link joins two processes.
     pub fn joined(&self, a: Node, b: Node) -> bool {
-        let between = |w: &&Wire| (w.from, w.to) == (a, b) || (w.from, w.to) == (b, a);
-        let mut wires = self.wires.values().filter(between);
+        let links = self.pairs.get(&pair(a, b)).into_iter().flatten();
+        let mut wires = links.filter_map(|link| self.wires.get(link));
         wires.any(|w| w.closed == [false; 2])
     }
 
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -128,6 +128,8 @@
     pub policy: Policy,
     /// Whether log lines and what happens at the workers are printed.
     pub trace: bool,
+    /// How many availability zones the processes are spread over, in turn.
+    zones: usize,
     schedulers: Vec<SchedulerNode>,
     executors: Vec<ExecutorNode>,
     /// What executors have written to the store of their workers.
@@ -151,8 +153,19 @@
         executors: usize,
         catalog: Catalog,
         policy: Policy,
+    ) -> World {
+        World::with_zones(seed, (schedulers, executors, 1), catalog, policy)
+    }
+
+    /// The same, with numbers of schedulers, of executors, and of availability zones.
+    pub fn with_zones(
+        seed: u64,
+        (schedulers, executors, zones): (usize, usize, usize),
+        catalog: Catalog,
+        policy: Policy,
     ) -> World {
         let mut world = World {
+            zones,
             policy,
             now: 10_000_000,
             rng: ChaCha8Rng::seed_from_u64(seed),
--- a/lib/testutils/src/dispatch/world/links.rs
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -36,6 +36,7 @@
         let delay = self.rng.random_range(300..1500);
         let last = wire.last[way];
         let bytes = size(&body);
+        self.network.count(from, to, bytes);
         let departs = self.network.departs(from, self.now, bytes);
         let arrives = self.network.arrives(to, departs + delay, bytes);
         let arrives = arrives.max(last + 1);
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -8,13 +8,17 @@
         self.lives
     }
 
+    fn zone_of(&self, number: usize) -> String {
+        format!("z{}", number % self.zones)
+    }
+
     pub(super) fn new_executor(&mut self, number: usize) -> ExecutorNode {
         let life = self.new_life();
         let skew = self.rng.random_range(0..1_000_000_000);
         let setup = ExecutorSetup {
             started: Mono(self.now + skew),
             name: executor_name(number),
-            zone: "z".to_owned(),
+            zone: self.zone_of(number),
             incarnation: life,
             fence: life * 1000,
             lease: self.policy.leases.lease,
@@ -35,7 +39,7 @@
         let skew = self.rng.random_range(0..1_000_000_000);
         let setup = SchedulerSetup {
             name: format!("scheduler-{number}"),
-            zone: "z".to_owned(),
+            zone: self.zone_of(number),
             address: format!("s:{number}"),
             incarnation: life,
             silence: self.policy.leases.silence,
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -3,4 +3,5 @@
 mod test_catalog_spread;
 mod test_dispatch_load;
 mod test_dispatch_run;
+mod test_fleet_cost;
 mod test_random_run;
