--- a/lib/testutils/src/dispatch/network.rs
+++ b/lib/testutils/src/dispatch/network.rs
@@ -100,10 +100,6 @@
         self.loads.clear();
     }
 
-    fn pair(a: Node, b: Node) -> (Node, Node) {
-        (a.min(b), a.max(b))
-    }
-
     /// What a process has sent and received.
     pub fn load_of(&self, node: Node) -> Load {
         self.loads.get(&node).copied().unwrap_or_default()
