scheduler: announcements go with the heartbeat where there are many peers

Cause: each of 54 peers was sent a frame for nearly each of 23 jobs a second that an entry takes, 1,200 a second, and as many came back.

Change: announcements to a peer are at least 2 ms apart for each linked peer (15 ms at least, as before with up to seven), no longer than the heartbeat of 100 ms.

Ruled out: telling a few guardians of a job's id only; a scheduler that has just met its peers would not know whom to ask. A job whose caller alone loses its connection and comes again elsewhere within the gap is still the open case of docs/POLICY.md, now of up to 100 ms in a fleet of 50 entries.

--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -140,6 +140,8 @@
         claim_gap: ms = 10, 0..=1000;
         /// Announcements of jobs to peers are gathered for so long.
         news_gap: ms = 15, 0..=1000;
+        /// The same for each peer that is linked, and no longer than until the next heartbeat, so that their number does not decide how many messages a scheduler takes in.
+        news_each: ms = 2, 0..=1000;
     }
 }
 
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -415,13 +415,15 @@
         let reports = self.setup.policy.reports;
         let version = self.version();
         let leaving = self.leaving.is_some();
+        let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
+        let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
             let Some(link) = peer.link else {
                 continue;
             };
             let urgent = peer.is_urgent();
             let gap = now.since(peer.last_sent);
-            let news = !peer.out.jobs.is_empty() && gap >= reports.news_gap;
+            let news = !peer.out.jobs.is_empty() && gap >= news_gap;
             if !urgent && !news && gap < reports.heartbeat {
                 continue;
             }
