executor: who holds leases is told once it has settled

Change: it counts as placing tasks; the list is told 20 ms later, when it has said so or not, and only to those that were told another one.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -140,8 +140,12 @@
     /// The number of the last end told to any scheduler. It rises over all sessions, since a
     /// scheduler may outlive its session here.
     last_end: u64,
-    /// Rises when what schedulers are told seldom has changed.
+    /// Tells apart what schedulers are told seldom.
     profile_edition: u64,
+    /// The schedulers that hold leases here, by name, as they are told.
+    leased: Vec<String>,
+    /// Since when that may be out of date.
+    leases_stale: Option<Mono>,
     health: Health,
     fence: u64,
     /// Since when runs may be at the worker that are not known here.
@@ -178,7 +182,9 @@
             sessions: BTreeMap::new(),
             claims: BTreeMap::new(),
             last_end: 0,
-            profile_edition: 1,
+            profile_edition: sessions::edition_of(&proto::Profile::default()),
+            leased: Vec::new(),
+            leases_stale: None,
             health: Health::new(setup.policy.health),
             unclean_since: setup.started,
             kept_until: Mono::default(),
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::Action;
 use super::Executor;
 use super::runs::Run;
@@ -39,10 +42,14 @@
     pub last_sent: Mono,
     /// Whether what is held must be listed in the next update.
     pub list_held: bool,
-    /// The last edition of the profile that was sent on this link; 0 for none.
+    /// The edition of the profile that was last sent on this link; 0 for none.
     pub profile_told: u64,
 }
 
+/// What has changed of leases is told after this long: a scheduler that has just linked says within a round trip
+/// whether it places tasks here, and in a large fleet most do not.
+const LEASES_SETTLE: Duration = Duration::from_millis(20);
+
 /// A run that goes slowly, as it is told; none if it is not there any more.
 fn slow_run(runs: &BTreeMap<TaskName, Run>, task: TaskName) -> Option<proto::SlowRun> {
     let run = runs.get(&task)?;
@@ -72,7 +79,7 @@
             name: greeting.name.clone(),
             link: None,
             lease_until,
-            standby: true,
+            standby: false,
             heard: now,
             ends: BTreeMap::new(),
             told: 0,
@@ -95,7 +102,7 @@
         session.list_held = true;
         session.profile_told = 0;
         session.urgent = true;
-        self.profile_changed();
+        self.leases_changed(now);
         self.log(Kind::LinkUp, format!("scheduler {}", greeting.name));
         self.work(now);
     }
@@ -135,7 +142,7 @@
             session.lease_until = session.lease_until.max(now + self.setup.lease);
         }
         if moved {
-            self.profile_changed();
+            self.leases_changed(now);
         }
         let fresh = now < lease_until;
         for job in orders.claims {
@@ -247,7 +254,7 @@
     }
 
     fn end_session(&mut self, now: Mono, name: &str) {
-        self.profile_changed();
+        self.leases_changed(now);
         if let Some(session) = self.sessions.remove(name)
             && let Some(link) = session.link
         {
@@ -309,6 +316,7 @@
 
     /// Sends updates to the schedulers that are due one.
     pub(super) fn report(&mut self, now: Mono) {
+        self.settle_leases(now);
         let reports = self.setup.policy.reports;
         let idle_heartbeat = self.setup.policy.cells.heartbeat;
         let near = self.sessions.values().filter(|s| !s.standby).count() as u32;
@@ -318,7 +326,7 @@
         let edition = self.profile_edition;
         let due = |s: &Session| {
             let gap = now.since(s.last_sent);
-            let untold = s.profile_told < edition;
+            let untold = s.profile_told != edition;
             match s.standby {
                 _ if s.urgent => true,
                 true => gap >= idle_heartbeat || (untold && gap >= seldom),
@@ -336,8 +344,8 @@
     fn send_update(&mut self, now: Mono, name: &str) {
         let worker = Some(self.worker_report());
         let told = self.sessions[name].profile_told;
-        let profile = (told < self.profile_edition).then(|| self.profile());
-        let edition = self.profile_edition;
+        let untold = told != self.profile_edition;
+        let profile = untold.then(|| self.profile_for(name));
         let held = self.sessions[name].list_held.then(|| self.held_for(name));
         let Some(session) = self.sessions.get_mut(name) else {
             return;
@@ -351,7 +359,9 @@
         session.urgent = false;
         session.changed = false;
         session.list_held = false;
-        session.profile_told = edition;
+        if let Some(profile) = &profile {
+            session.profile_told = edition_of(profile);
+        }
         session.last_sent = now;
         let claimed = session.claimed.drain(..).map(|j| j.0).collect();
         let denied = session.denied.drain(..).map(|j| j.0).collect();
@@ -426,15 +436,47 @@
 
     /// Takes note that what schedulers are told seldom has changed.
     pub(super) fn profile_changed(&mut self) {
-        self.profile_edition += 1;
+        self.profile_edition = edition_of(&self.profile(self.leased.clone()));
         for session in self.sessions.values_mut() {
             session.changed = true;
         }
     }
 
-    fn profile(&self) -> proto::Profile {
-        let leased = self.sessions.values().filter(|s| !s.standby);
-        let leased = leased.map(|s| s.name.clone()).collect();
+    /// Takes note that schedulers have come or gone, or have begun or ceased to place tasks here.
+    fn leases_changed(&mut self, now: Mono) {
+        self.leases_stale.get_or_insert(now);
+    }
+
+    /// Tells who holds leases here, once it has been the same for a moment.
+    fn settle_leases(&mut self, now: Mono) {
+        if self
+            .leases_stale
+            .is_none_or(|at| now.since(at) < LEASES_SETTLE)
+        {
+            return;
+        }
+        self.leases_stale = None;
+        let holders = self.sessions.values().filter(|s| !s.standby);
+        let mut leased: Vec<String> = holders.map(|s| s.name.clone()).collect();
+        leased.sort();
+        if leased != self.leased {
+            self.leased = leased;
+            self.profile_changed();
+        }
+    }
+
+    /// The profile as one scheduler is told it. One that has just linked counts as holding a lease.
+    fn profile_for(&self, owner: &str) -> proto::Profile {
+        let mut leased = self.leased.clone();
+        let session = &self.sessions[owner];
+        if !session.standby && !leased.contains(&session.name) {
+            leased.push(session.name.clone());
+            leased.sort();
+        }
+        self.profile(leased)
+    }
+
+    fn profile(&self, leased: Vec<String>) -> proto::Profile {
         let Some(worker) = &self.worker else {
             return proto::Profile {
                 leased,
@@ -450,3 +492,8 @@
         }
     }
 }
+
+/// Tells editions of the profile apart.
+pub(super) fn edition_of(profile: &proto::Profile) -> u64 {
+    xxh3_64(&profile.encode_to_vec())
+}
