--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -38,25 +38,31 @@
 
 /// A configuration of 1,500 queues each second, ten schedulers of which six are on 25 Mbit/s, twenty executors
 /// restarted. While each peer that was behind was sent the whole configuration on each heartbeat, nothing of the
-/// work was done in time meanwhile (0.000), and 0.2 of it in all.
+/// work was done in time meanwhile (0.000), and 0.2 of it in all. The share of one seed spreads by 0.025, so the
+/// mean of six counts.
 #[test]
 fn test_dispatch_load_goes_on_while_large_configurations_come() {
-    let plan = LoadPlan {
-        load: 0.45,
-        schedulers: 10,
-        workers: 30,
-        slow: 0,
-        trouble: Trouble {
-            link_mbit: 25,
-            queues: 1500,
-            restarts: 20,
-        },
-        ..plan(Policy::default())
-    };
-    let report = load::run(plan);
-    assert_eq!(report.violation, None);
-    let goodput = report.goodput_in_trouble();
+    const SEEDS: u64 = 6;
+    let mut goodput = 0.0;
+    for seed in 1..=SEEDS {
+        let plan = LoadPlan {
+            seed,
+            load: 0.45,
+            schedulers: 10,
+            workers: 30,
+            slow: 0,
+            trouble: Trouble {
+                link_mbit: 25,
+                queues: 1500,
+                restarts: 20,
+            },
+            ..plan(Policy::default())
+        };
+        let report = load::run(plan);
+        assert_eq!(report.violation, None, "seed {seed}");
+        let back = report.time_until_back(0.9);
+        assert!(back <= Duration::from_secs(2), "well again after {back:?}");
+        goodput += report.goodput_in_trouble() / SEEDS as f64;
+    }
     assert!(goodput > 0.85, "{goodput} of the work in time meanwhile");
-    let back = report.time_until_back(0.9);
-    assert!(back <= Duration::from_secs(2), "well again after {back:?}");
 }
