scheduler: new jobs are claimed where a lost peer had leases

Cause: after the link to a peer has broken, each new job is claimed for half a second. One of 55 entries that is killed so costs 55 x 12 jobs x 240 claims and as many answers: 11,500 frames a second at each entry, which bears some 8,000.

Change: such a claim goes to the executors that list the lost peer, to those that are not linked or were linked in that half second, and to all where none lists it or the fleet is one cell. An executor that joins a cell gets tasks 200 ms later, so that it has been listed by then.

Tests: claims where the lost peer had leases; an executor on standby that is lost counts as alive until then (fails with the loss counted from its last word); one that does not answer a claim is given up after 700 ms; heartbeats; loans.

--- a/lib/src/dispatch/scheduler/cell.rs
+++ b/lib/src/dispatch/scheduler/cell.rs
@@ -16,6 +16,10 @@
 use super::fleet::ExecutorKey;
 use crate::prelude::*;
 
+/// Where a fleet is more than one cell, tasks are placed at an executor this long after it was taken into the cell,
+/// so that all others have heard that this scheduler may place tasks there: it tells them within 100 ms.
+pub(super) const CELL_SETTLE: Duration = Duration::from_millis(200);
+
 /// An executor's place in a scheduler's order; the lowest are its cell.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -76,12 +80,23 @@
         }
     }
 
+    /// Whether all executors that are known are in the cell.
+    pub(super) fn is_one_cell(&self) -> bool {
+        self.executors.len() <= self.setup.policy.cells.size as usize
+    }
+
     /// Takes an executor into the cell.
     fn approach(&mut self, key: ExecutorKey) {
         self.cell.near.push(key);
+        let settle = if self.is_one_cell() {
+            Duration::ZERO
+        } else {
+            CELL_SETTLE
+        };
         let executor = &mut self.executors[key];
         if std::mem::replace(&mut executor.standby, false) {
             executor.hurried = self.now;
+            executor.usable_at = self.now + settle;
             self.pending.push(key);
         }
     }
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -121,7 +121,7 @@
 
     /// Whether this scheduler has only just started, or come back from a long pause: jobs of a life
     /// before may still be at work, and it may not have met everybody yet.
-    fn is_young(&self) -> bool {
+    pub(super) fn is_young(&self) -> bool {
         self.now.since(self.present_since) < self.setup.policy.claims.warm_up
     }
 
@@ -191,7 +191,11 @@
             job.claimed_young = young;
             job.claimed_lost = lost;
         }
-        let asked: Vec<ExecutorKey> = self.executors.keys().collect();
+        let asked = if lost {
+            self.reach_of_lost()
+        } else {
+            self.executors.keys().collect()
+        };
         for key in &asked {
             self.ask_claim(number, *key);
         }
@@ -199,6 +203,28 @@
         self.settle_claims();
     }
 
+    /// The executors at which peers whose link was only just lost may have placed tasks.
+    ///
+    /// Load pattern: one of 55 schedulers is lost, and for half a second each new job at each of the others is
+    /// claimed. At all of 240 executors that is 300,000 claims; at those that list the lost one it is a fifth. A
+    /// scheduler places tasks at an executor once that has had the time to list it for all others
+    /// ([`CELL_SETTLE`](super::cell::CELL_SETTLE)).
+    fn reach_of_lost(&self) -> Vec<ExecutorKey> {
+        let bound = self.setup.policy.claims.link_lost;
+        let recent = |at: Mono| self.now.since(at) < bound;
+        let lost = self.peers.iter();
+        let lost = lost.filter(|(_, p)| p.lost.is_some_and(recent));
+        let lost: Vec<&String> = lost.map(|(name, _)| name).collect();
+        let listed = |name: &&String| self.leases.holds(name);
+        if self.is_one_cell() || !lost.iter().all(listed) {
+            return self.executors.keys().collect();
+        }
+        let lists = |e: &ExecutorView| e.profile.leased.iter().any(|name| lost.contains(&name));
+        let may = |e: &ExecutorView| e.link.is_none() || recent(e.linked_at) || lists(e);
+        let reach = self.executors.iter().filter(|(_, e)| may(e));
+        reach.map(|(key, _)| key).collect()
+    }
+
     /// Asks an executor to end what others have of a job, and waits for its word.
     pub(super) fn ask_claim(&mut self, number: JobNumber, key: ExecutorKey) {
         let Some(job) = self.jobs.get_mut(&number) else {
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -33,6 +33,7 @@
     pub zone: String,
     pub incarnation: u64,
     pub link: Option<LinkId>,
+    pub linked_at: Mono,
     pub heard: Mono,
     /// The executor's newest clock reading, to be echoed.
     pub clock_us: u64,
@@ -62,6 +63,8 @@
     pub standby: bool,
     /// What it was last told of that.
     told_standby: bool,
+    /// From when on tasks are placed there.
+    pub usable_at: Mono,
     /// Since when it should answer at once: it was asked for a claim, or is on standby no more.
     pub hurried: Mono,
     /// Whether it takes much longer than the others.
@@ -80,6 +83,7 @@
             zone: greeting.zone.clone(),
             incarnation: greeting.incarnation,
             link: None,
+            linked_at: now,
             heard: now,
             clock_us: 0,
             report: proto::WorkerReport::default(),
@@ -99,6 +103,7 @@
             lent_until: Mono::default(),
             standby: true,
             told_standby: true,
+            usable_at: Mono::default(),
             hurried: Mono::default(),
             slow: false,
             renewed: None,
@@ -109,6 +114,7 @@
     pub fn takes(&self, now: Mono, service: &str) -> bool {
         self.link.is_some()
             && !self.standby
+            && self.usable_at <= now
             && self.report.ready
             && now.since(self.heard) < self.policy.placement.report_age
             && self.profile.service == service
@@ -222,6 +228,7 @@
             executor.renewed = Some(now + self.setup.lapse);
         }
         executor.link = Some(link);
+        executor.linked_at = now;
         executor.incarnation = greeting.incarnation;
         executor.heard = now;
         self.leases.add(&executor.profile.leased);
--- a/lib/src/dispatch/scheduler/leases.rs
+++ b/lib/src/dispatch/scheduler/leases.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Whether a scheduler holds a lease somewhere.
+    pub fn holds(&self, name: &str) -> bool {
+        self.0.contains_key(name)
+    }
+
     /// The schedulers that hold a lease somewhere.
     pub fn names(&self) -> impl Iterator<Item = &String> {
         self.0.keys()
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -2,6 +2,7 @@
 
 mod call_ids;
 mod catalogs;
+mod cells;
 mod claims;
 mod slow;
 
@@ -48,6 +49,10 @@
     }
 
     fn without_catalog() -> Bench {
+        Bench::with_policy(Policy::default())
+    }
+
+    fn with_policy(policy: Policy) -> Bench {
         let setup = SchedulerSetup {
             name: "s1".to_owned(),
             zone: "z".to_owned(),
@@ -57,7 +62,7 @@
             lapse: Duration::from_millis(1300),
             started: Mono(1),
             seed: 1,
-            policy: Policy::default(),
+            policy,
         };
         Bench {
             scheduler: Scheduler::new(setup),
