scheduler: one that has just started is not ready beside a settled neighbour

Cause: for 1.3 s after its start an entry claims each job at all executors, 5,500 claims a second for the 23 jobs that come to it in a fleet of 240. Its callers wait for that, and it has no time left to link.

Change: peers say whether they take jobs without that; one that has a linked neighbour in its zone which does is not ready itself until it is grown. Where nobody is settled, as after a loss of all, it is ready as before. The metrics tell the size of the cell and what of it is lent.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -130,10 +130,13 @@
     let help = "Decisions made.";
     page.counters("decisions_total", help, "kind", decisions.into_iter());
     let [jobs, waiting, executors, peers] = scheduler.load().map(|n| n as i64);
+    let cell = scheduler.cell();
     let held = [
         ("jobs", jobs),
         ("jobs_waiting", waiting),
         ("executors_linked", executors),
+        ("executors_in_cell", cell[0] as i64),
+        ("executors_lent", cell[1] as i64),
         ("schedulers_linked", peers),
         ("config_version", scheduler.version() as i64),
         ("ready", i64::from(scheduler.is_ready())),
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -310,10 +310,13 @@
     }
 
     /// Whether requests should be sent here: a catalog is in force, a worker can be reached, and
-    /// the process is not leaving.
+    /// the process is not leaving. One that has just started has to claim each job at all executors
+    /// first, so it leaves them to a neighbour that need not: beside 240 executors the 23 jobs a second
+    /// of one entry would make 5,500 claims.
     pub fn is_ready(&self) -> bool {
         let reachable = self.executors.values().any(|e| e.link.is_some());
-        self.leaving.is_none() && self.catalog.index().is_some() && reachable
+        let better_elsewhere = self.is_young() && self.has_settled_neighbour();
+        self.leaving.is_none() && self.catalog.index().is_some() && reachable && !better_elsewhere
     }
 
     /// Jobs held, jobs that wait, linked executors, linked peers.
@@ -328,6 +331,17 @@
         ]
     }
 
+    /// Executors in the cell, and those of them that are lent to it.
+    pub fn cell(&self) -> [usize; 2] {
+        let near = self
+            .cell
+            .near
+            .iter()
+            .filter_map(|key| self.executors.get(*key));
+        let lent = near.filter(|e| !e.home).count();
+        [self.cell.near.len(), lent]
+    }
+
     /// Whether no job is held and nobody waits.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.following.is_empty()
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -31,6 +31,9 @@
     /// When its last link broke, though it had been heard just before and not said that it leaves.
     pub lost: Option<Mono>,
     leaving: bool,
+    zone: String,
+    /// Whether it takes jobs without claiming them for having just started.
+    settled: bool,
     pub version: u64,
     out: proto::PeerUpdate,
     last_sent: Mono,
@@ -128,6 +131,12 @@
         peers.any(|p| p.link.is_some() && p.address == address)
     }
 
+    /// Whether a peer in the own zone is linked that takes jobs and has not just started.
+    pub(super) fn has_settled_neighbour(&self) -> bool {
+        let mut linked = self.peers.values().filter(|p| p.link.is_some());
+        linked.any(|p| p.settled && p.zone == self.setup.zone)
+    }
+
     /// Whether a link to this peer is up.
     pub fn is_linked(&self, name: &str) -> bool {
         self.peers.get(name).is_some_and(|p| p.link.is_some())
@@ -155,6 +164,8 @@
         }
         peer.incarnation = greeting.incarnation;
         peer.address.clone_from(&greeting.address);
+        peer.zone.clone_from(&greeting.zone);
+        peer.settled = false;
         peer.heard = now;
         peer.met = false;
         peer.leaving = false;
@@ -240,6 +251,7 @@
             peer.met = true;
             peer.version = update.catalog_version;
             peer.leaving = update.leaving;
+            peer.settled = update.settled;
         }
         for job in update.jobs {
             self.note_rival(name, JobNumber(job));
@@ -415,6 +427,7 @@
         let reports = self.setup.policy.reports;
         let version = self.version();
         let leaving = self.leaving.is_some();
+        let settled = !leaving && !self.is_young() && version > 0;
         let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
         let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
@@ -431,6 +444,7 @@
             update.catalog_version = version;
             update.members = self.members.news(&mut peer.members_told);
             update.leaving = leaving;
+            update.settled = settled;
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
             self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -271,4 +271,7 @@
     /// The sender is behind and wants the receiver's configuration.
     #[prost(bool, tag = "10")]
     pub catalog_wanted: bool,
+    /// The sender takes jobs without having to claim them first for having just started.
+    #[prost(bool, tag = "11")]
+    pub settled: bool,
 }
--- a/lib/tests/runner/test_scheduler/cells.rs
+++ b/lib/tests/runner/test_scheduler/cells.rs
@@ -182,3 +182,32 @@
     let closed = cells.bench.actions.contains(&Action::Close(cells.standby));
     assert!(closed, "after 700 ms, not 2,500");
 }
+
+/// One that has just started leaves jobs to a neighbour that need not claim them.
+#[test]
+fn test_scheduler_is_not_ready_while_young_beside_a_settled_neighbour() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.report(Vec::new());
+    assert!(bench.scheduler.is_ready(), "nobody else is there");
+    let greeting = proto::Greeting {
+        name: "s2".to_owned(),
+        zone: "z".to_owned(),
+        incarnation: 1,
+        ..proto::Greeting::default()
+    };
+    bench.scheduler.link_up(bench.now, PEER, &greeting);
+    bench.peer(proto::PeerUpdate::default());
+    assert!(bench.scheduler.is_ready(), "the neighbour is young, too");
+    bench.peer(proto::PeerUpdate {
+        settled: true,
+        ..proto::PeerUpdate::default()
+    });
+    assert!(!bench.scheduler.is_ready());
+    for _ in 0..70 {
+        bench.report(Vec::new());
+        bench.peer(proto::PeerUpdate::default());
+        bench.pass(20);
+    }
+    assert!(bench.scheduler.is_ready());
+}
