executor: a scheduler on standby keeps its link without a lease only while nothing of it runs

Cause: a session on standby outlasted its lease for 2.5 s, also with a run at work that the scheduler had not seen ended. The scheduler does not go on standby with a task placed, so no run is known to have outlived its lease by this; the executor must not rest on that. Found by the test, which failed first.

Tests as well for what sessions on standby are told, and for runs that outlast what was ordered: one that its worker began seconds after it was stopped, and one whose scheduler is removed for good, are both stopped.

--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -240,11 +240,11 @@
     /// Ends the sessions whose lease is over; what runs for them is stopped.
     pub(super) fn expire_leases(&mut self, now: Mono) {
         let silence = self.setup.policy.cells.silence;
-        let idle = |s: &Session| s.standby && now.since(s.heard) < silence;
-        let over = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.lease_until <= now && !idle(s));
+        let runs = |owner: &str| self.runs.values().any(|r| r.scheduler == owner);
+        let idle =
+            |owner: &str, s: &Session| s.standby && now.since(s.heard) < silence && !runs(owner);
+        let over = self.sessions.iter();
+        let over = over.filter(|(owner, s)| s.lease_until <= now && !idle(owner, s));
         let over: Vec<String> = over.map(|(name, _)| name.clone()).collect();
         for name in over {
             self.counts.lapsed += 1;
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod recall;
 mod slow;
+mod standby;
 mod worker;
 
 use std::time::Duration;
