executor: leases are told to all within 200 ms, however many are linked

Cause: what is told to schedulers on standby was 3 ms apart for each linked one, 165 ms with 55, and 210 ms with the tick and the moment in which leases settle. Schedulers rest on 200 ms where they claim new jobs at the executors that list a lost peer.

Change: it goes with the next message 100 ms after the last one. The test failed first (nothing told within 200 ms).

--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -321,15 +321,13 @@
         let idle_heartbeat = self.setup.policy.cells.heartbeat;
         let near = self.sessions.values().filter(|s| !s.standby).count() as u32;
         let least = reports.gap.max(reports.gap_each * near);
-        let seldom = reports.gap_each * self.sessions.len() as u32;
-        let seldom = seldom.max(reports.heartbeat);
         let edition = self.profile_edition;
         let due = |s: &Session| {
             let gap = now.since(s.last_sent);
             let untold = s.profile_told != edition;
             match s.standby {
                 _ if s.urgent => true,
-                true => gap >= idle_heartbeat || (untold && gap >= seldom),
+                true => gap >= idle_heartbeat || (untold && gap >= reports.heartbeat),
                 false => gap >= reports.heartbeat || (s.changed && gap >= least),
             }
         };
--- a/lib/src/dispatch/scheduler/cell.rs
+++ b/lib/src/dispatch/scheduler/cell.rs
@@ -17,7 +17,8 @@
 use crate::prelude::*;
 
 /// Where a fleet is more than one cell, tasks are placed at an executor this long after it was taken into the cell,
-/// so that all others have heard that this scheduler may place tasks there: it tells them within 100 ms.
+/// so that all others have heard that this scheduler may place tasks there: it tells them 20 ms later, with the
+/// next message of a link on which one is due each 100 ms.
 pub(super) const CELL_SETTLE: Duration = Duration::from_millis(200);
 
 /// An executor's place in a scheduler's order; the lowest are its cell.
--- a/lib/tests/runner/test_executor/standby.rs
+++ b/lib/tests/runner/test_executor/standby.rs
@@ -65,6 +65,32 @@
     assert_eq!(leased(&bench), Some(vec!["one".to_owned()]));
 }
 
+/// Schedulers rest on this where they claim new jobs only at executors that list a lost peer: with 55 of them linked, too.
+#[test]
+fn test_executor_tells_standby_of_leases_within_200_ms() {
+    let mut bench = with_standby();
+    for n in 0..53 {
+        let link = LinkId(100 + n);
+        bench.link(link, &format!("other-{n}"));
+        let orders = proto::Orders {
+            standby: true,
+            ..proto::Orders::default()
+        };
+        bench.orders(link, orders);
+    }
+    two_seconds(&mut bench);
+    bench.link(LinkId(200), "late");
+    bench.orders(LinkId(200), proto::Orders::default());
+    bench.actions.clear();
+    for _ in 0..8 {
+        bench.pass(25);
+    }
+    let updates = bench.updates(TWO);
+    let told = updates.into_iter().filter_map(|u| u.profile);
+    let told = told.last().expect("it was told");
+    assert_eq!(told.leased, ["late", "one"]);
+}
+
 #[test]
 fn test_executor_answers_a_claim_from_standby_at_once() {
     let mut bench = with_standby();
