scheduler: cells are larger where schedulers are few

Cause: with 48 executors to a cell, 24 schedulers beside 3,700 executors would leave 2,500 of them idle, and 3 beside 100 one in seven.

One that has just started keeps to 48 until it has met its peers. The test failed first.

--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -150,6 +150,8 @@
     Cells ("cells") {
         /// A scheduler places tasks at so many executors: those of its own zone first. A fleet of no more is one cell. A zone of the largest fleet played has 48.
         size: count = 48, 1..=100_000;
+        /// A cell is larger than that where schedulers are few, so that an executor is in the cells of so many on average: with hashes, one in four hundred is then in none.
+        cover: count = 6, 1..=1000;
         /// Heartbeats on links on standby are this far apart.
         heartbeat: ms = 1000, 10..=60_000;
         /// A link on standby on which nothing arrives for so long is closed. Two heartbeats and a half.
--- a/lib/src/dispatch/scheduler/cell.rs
+++ b/lib/src/dispatch/scheduler/cell.rs
@@ -4,7 +4,7 @@
 //! all of them report. If every executor reports to every scheduler as often as placing needs it, what a scheduler
 //! takes in grows with the fleet, and what is sent grows with its square.
 //!
-//! A cell is the first `cells.size` of the linked executors in an order of each scheduler's own: those of its zone
+//! A cell is the first `cells.size` (more where schedulers are few beside the executors) of the linked executors in an order of each scheduler's own: those of its zone
 //! before others, then by a hash of both names. So cells need no agreement, stay as they are when others come
 //! and go, overlap, and load every executor alike. At the others a scheduler is on standby: it hears heartbeats,
 //! can claim jobs, and can lend itself some of them while its cell has no room.
@@ -46,6 +46,8 @@
     pub near: Vec<ExecutorKey>,
     /// Whether links have come or gone since it was formed.
     pub stale: bool,
+    /// How many executors it was formed of at most.
+    size: usize,
     lent_at: Mono,
 }
 
@@ -55,12 +57,14 @@
         let now = self.now;
         let over = |key: &ExecutorKey| self.executors.get(*key).is_none_or(|e| e.loan_is_over(now));
         let ended = self.sweep && self.cell.near.iter().any(over);
-        if !std::mem::take(&mut self.cell.stale) && !ended {
+        let resized = self.sweep && self.cell.size != self.cell_size();
+        if !std::mem::take(&mut self.cell.stale) && !ended && !resized {
             return;
         }
+        let size = self.cell_size();
+        self.cell.size = size;
         let linked = self.executors.iter().filter(|(_, e)| e.link.is_some());
         let mut ranks: Vec<(Rank, ExecutorKey)> = linked.map(|(key, e)| (e.rank, key)).collect();
-        let size = self.setup.policy.cells.size as usize;
         if ranks.len() > size {
             ranks.select_nth_unstable(size - 1);
         }
@@ -81,9 +85,23 @@
         }
     }
 
+    /// How many executors the cell has at most. The cells of all schedulers together hold each executor a few
+    /// times, or some would stand idle. One that has just started has not met its peers yet, and would take the
+    /// whole fleet.
+    fn cell_size(&self) -> usize {
+        let policy = self.setup.policy.cells;
+        let least = policy.size as usize;
+        if self.is_young() {
+            return least;
+        }
+        let schedulers = 1 + self.peers.values().filter(|p| p.link.is_some()).count();
+        let covering = policy.cover as usize * self.executors.len();
+        least.max(covering.div_ceil(schedulers))
+    }
+
     /// Whether all executors that are known are in the cell.
     pub(super) fn is_one_cell(&self) -> bool {
-        self.executors.len() <= self.setup.policy.cells.size as usize
+        self.executors.len() <= self.cell_size()
     }
 
     /// Takes an executor into the cell.
--- a/lib/tests/runner/test_scheduler/cells.rs
+++ b/lib/tests/runner/test_scheduler/cells.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+const THIRD_PEER: LinkId = LinkId(5);
+
 /// The links to the executor of the cell and to the one on standby, as the orders on them say.
 struct Cells {
     bench: Bench,
@@ -13,10 +15,13 @@
     fn ready() -> Cells {
         let mut policy = Policy::default();
         policy.cells.size = 1;
+        policy.cells.cover = 1;
         let mut bench = Bench::with_policy(policy);
         bench.scheduler.set_catalog(bench.now, catalog(3));
         bench.link(EXECUTOR, "e1", true);
         bench.link(OTHER_EXECUTOR, "e2", true);
+        // A peer that has nothing to do with what is tested, so that one of two executors is a cell.
+        bench.link(THIRD_PEER, "s3", false);
         let mut cells = Cells {
             bench,
             near: EXECUTOR,
@@ -48,12 +53,20 @@
 
     /// Both executors report, then time passes. The one of the cell lists these schedulers.
     fn live(&mut self, ms: u64, leased: &[&str]) {
+        self.bench.peer_on(THIRD_PEER, proto::PeerUpdate::default());
         let leased = leased.iter().map(|name| (*name).to_owned()).collect();
         self.report(self.near, leased);
         self.report(self.standby, Vec::new());
         self.bench.pass(ms);
     }
 
+    /// 100 ms in which the executor on standby says nothing.
+    fn live_without_standby(&mut self) {
+        self.bench.peer_on(THIRD_PEER, proto::PeerUpdate::default());
+        self.report(self.near, Vec::new());
+        self.bench.pass(100);
+    }
+
     fn report(&mut self, link: LinkId, leased: Vec<String>) {
         let update = proto::Update {
             profile: Some(profile(leased)),
@@ -95,6 +108,30 @@
     assert!(count(cells.standby) <= 3, "{}", count(cells.standby));
 }
 
+/// With one scheduler for two executors, the second one would stand idle.
+#[test]
+fn test_scheduler_cell_grows_where_schedulers_are_few() {
+    let mut cells = Cells::ready();
+    let standby = |cells: &Cells| {
+        let sent = cells.sent();
+        let last = sent.iter().rfind(|(link, _)| *link == cells.standby);
+        last.is_some_and(|(_, orders)| orders.standby)
+    };
+    for _ in 0..10 {
+        cells.live(100, &[]);
+    }
+    assert!(standby(&cells));
+    cells.bench.scheduler.link_down(cells.bench.now, THIRD_PEER);
+    cells.bench.actions.clear();
+    for _ in 0..10 {
+        cells.report(cells.near, Vec::new());
+        cells.report(cells.standby, Vec::new());
+        cells.bench.pass(100);
+    }
+    assert!(!cells.sent().is_empty());
+    assert!(!standby(&cells), "it is of the cell now");
+}
+
 #[test]
 fn test_scheduler_cell_is_widened_while_it_has_no_room() {
     let mut cells = Cells::ready();
@@ -142,8 +179,7 @@
     cells.bench.link(PEER, "s2", false);
     cells.bench.announce_on(PEER, 9);
     for _ in 0..9 {
-        cells.report(cells.near, Vec::new());
-        cells.bench.pass(100);
+        cells.live_without_standby();
     }
     let now = cells.bench.now;
     cells.bench.scheduler.link_down(now, PEER);
@@ -153,8 +189,7 @@
     cells.bench.pass(20);
     cells.confirm(cells.near, 9);
     for _ in 0..12 {
-        cells.report(cells.near, Vec::new());
-        cells.bench.pass(100);
+        cells.live_without_standby();
     }
     assert_eq!(cells.started_at(), [], "it may still run there");
     for _ in 0..3 {
@@ -176,8 +211,7 @@
     cells.bench.pass(20);
     cells.bench.actions.clear();
     for _ in 0..7 {
-        cells.report(cells.near, Vec::new());
-        cells.bench.pass(100);
+        cells.live_without_standby();
     }
     let closed = cells.bench.actions.contains(&Action::Close(cells.standby));
     assert!(closed, "after 700 ms, not 2,500");
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -111,6 +111,7 @@
     if cell > 0 {
         policy.cells.size = cell;
         policy.cells.lent = 1;
+        policy.cells.cover = 1;
     }
     policy
 }
