--- a/lib/tests/runner/test_executor/standby.rs
+++ b/lib/tests/runner/test_executor/standby.rs
@@ -49,8 +49,8 @@
     let mut bench = with_standby();
     let leased = |bench: &Bench| {
         let updates = bench.updates(ONE);
-        let told = updates.into_iter().filter_map(|u| u.profile);
-        told.last().map(|profile| profile.leased)
+        let mut told = updates.into_iter().filter_map(|u| u.profile);
+        told.next_back().map(|profile| profile.leased)
     };
     stand_by(&mut bench, false);
     bench.pass(25);
@@ -86,8 +86,8 @@
         bench.pass(25);
     }
     let updates = bench.updates(TWO);
-    let told = updates.into_iter().filter_map(|u| u.profile);
-    let told = told.last().expect("it was told");
+    let mut told = updates.into_iter().filter_map(|u| u.profile);
+    let told = told.next_back().expect("it was told");
     assert_eq!(told.leased, ["late", "one"]);
 }
 
