scheduler: a job is refused at once where no executor can be reached

Both callers got 503 after 1.4 s, while entry 1 could run it.

Change: one that is not young and reaches no executor refuses, does not announce the job, and says so (`no-executor`).

--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -69,6 +69,9 @@
             learned,
             &self.setup.policy.admission,
         );
+        if !claim && self.is_cut_off() {
+            return self.refuse_unheld(caller, &job.request, "no-executor");
+        }
         if self.ends_too_late(&job) {
             return self.refuse_unheld(caller, &job.request, "leaving");
         }
@@ -93,6 +96,13 @@
         }
     }
 
+    /// Whether no executor can be reached, though there was time to meet them. A job that is taken here meanwhile
+    /// is announced, and a peer that can run it waits for this scheduler: both callers are refused when its
+    /// objective has passed, 1.4 s later for work of 500 ms.
+    fn is_cut_off(&self) -> bool {
+        !self.is_young() && self.executors.values().all(|e| e.link.is_none())
+    }
+
     fn refuse_unheld(&mut self, caller: CallerId, request: &JobRequest, cause: &'static str) {
         let outcome = self.refusal();
         self.count_cause(cause);
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use stackcourse_lib::dispatch::catalog::Catalog;
 use stackcourse_lib::dispatch::catalog::Queue;
 use stackcourse_lib::dispatch::model::Demand;
@@ -446,3 +447,21 @@
     bench.pass(200);
     assert_eq!(names(&mut bench), [""; 0]);
 }
+
+/// An entry that is cut off from all agents, but not from a peer, took a job and let the peer wait for it.
+#[test]
+fn test_scheduler_refuses_at_once_what_it_has_no_executor_for() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.peer(proto::PeerUpdate::default());
+    bench.scheduler.link_down(bench.now, EXECUTOR);
+    bench.actions.clear();
+    bench.submit(1, 9, 1);
+    assert_matches!(bench.answers()[..], [(1, JobOutcome::Refused(_))]);
+    bench.pass(200);
+    let announced = bench.actions.iter().any(|a| match a {
+        Action::Send(_, body) => matches!(&**body, Body::Peer(update) if update.jobs == [9]),
+        _ => false,
+    });
+    assert!(!announced, "a peer may run it");
+}
