executor: what ran at a worker that is gone is written down

Cause: an agent wrote that its worker is unreachable, not what ran there, since when, or when the connection broke; so logs could not tell a task that takes workers down from one that is there by chance.

Change: SC437 lists the runs, the youngest first, each with the time from its start to the worker's last sign of life. No decision is changed.

Measured: tests only. Before, no line; after, one line a crash with runs.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod claims;
+mod crashes;
 mod health;
 mod lists;
 mod runs;
@@ -270,7 +271,7 @@
     /// Takes note that a life of the worker is over.
     pub fn worker_left(&mut self, now: Mono, life: &str) {
         if self.life() == life {
-            self.end_life(now);
+            self.end_life(now, "it has left");
             self.work(now);
         }
     }
@@ -318,7 +319,7 @@
 
     fn begin_life(&mut self, now: Mono, beat: WorkerBeat) {
         if self.worker.is_some() {
-            self.end_life(now);
+            self.end_life(now, "another life has registered");
         }
         let detail = format!("{} of {}", beat.life, beat.service);
         self.log(Kind::WorkerUp, detail);
@@ -351,8 +352,9 @@
     }
 
     /// Everything that ran in this life of the worker is over.
-    fn end_life(&mut self, now: Mono) {
+    fn end_life(&mut self, now: Mono, cause: &str) {
         self.log(Kind::WorkerDown, self.life());
+        self.log_lost(now, cause);
         self.worker = None;
         self.profile_changed();
         self.keep_worker();
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -124,6 +124,14 @@
         }
         let gone = *reply != HoldReply::NoAnswer && now.since(since) >= orders.gone_after;
         if gone || over {
+            self.log_lost(
+                now,
+                if gone {
+                    "it is gone"
+                } else {
+                    "runs were not kept alive"
+                },
+            );
             self.forget_runs(now);
             self.return_queue(now);
         }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -102,6 +102,7 @@
     StrangerRun = 434, Warn, "a run that was not started here is stopped";
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
     Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
+    RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
 }
 
 /// One occurrence of an event.
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -1,6 +1,7 @@
 //! The executor: room, leases, claims, and orders that get no answer.
 
 mod claims;
+mod crashes;
 mod recall;
 mod slow;
 mod standby;
