tests: tasks that take workers down, on the virtual clock; red

Cause shown: a run whose worker is gone counts against no bound, and is placed again at once. Test 1: the fourth to sixth crash within 1.2 s, at one scheduler. Test 2: two schedulers lost in turn, a third begins anew.

Change: the model of workers has tasks that take them down, and the load tool an option for them (`--crashing`). Existing seeds draw as before.

--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -43,6 +43,7 @@
     let slow = "Workers that take five times as long in the middle half of the run";
     let mbit = "Mbit/s of two thirds of the schedulers' machines; 0 for no limit";
     let queues = "Queues of a configuration that is accepted each second of the middle half";
+    let crashing = "Jobs of a thousand in the middle half with a task that takes workers down";
     let restarts = "Executors that are restarted in the middle half, one each 200 ms";
     Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
@@ -62,6 +63,7 @@
         .arg(number("mbit", "0", mbit))
         .arg(number("queues", "0", queues))
         .arg(number("restarts", "0", restarts))
+        .arg(number("crashing", "0", crashing))
         .arg(
             Arg::new("set")
                 .long("set")
@@ -120,6 +122,7 @@
             link_mbit: value(matches, "mbit"),
             queues: value(matches, "queues") as usize,
             restarts: value(matches, "restarts") as usize,
+            crashing: value(matches, "crashing") as f64 / 1000.0,
         },
         policy,
     };
@@ -151,6 +154,11 @@
         " middle half: {:5.3}, well after {back:.1} s ",
         trouble / count
     );
+    let crashes: u64 = reports.iter().map(|r| r.crashes).sum();
+    let misjudged: u64 = reports.iter().map(|r| r.misjudged).sum();
+    if crashes > 0 {
+        print!(" {crashes} crashes, {misjudged} jobs given up for those of others ");
+    }
     let broken = reports.iter().find_map(|r| r.violation.clone());
     println!("{}", broken.unwrap_or_default());
 }
--- a/lib/testutils/src/dispatch/callers.rs
+++ b/lib/testutils/src/dispatch/callers.rs
@@ -30,6 +30,8 @@
     pub works_us: Vec<u64>,
     /// Whether its tasks always fail.
     pub poison: bool,
+    /// The task of its that takes down each worker which starts it, if there is one.
+    pub crashing: Option<u32>,
     /// Whether its caller was answered for good or has left.
     pub settled: bool,
     /// How often it was handed in.
@@ -140,6 +142,7 @@
             work_us: u64::from(work_ms) * 1000,
             works_us: Vec::new(),
             poison: rng.random_bool(0.02),
+            crashing: None,
             settled: false,
             tries: 0,
         };
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -106,6 +106,9 @@
     pub queues: usize,
     /// Executors that are restarted, one each [`REPLACE_GAP_US`].
     pub restarts: usize,
+    /// The share of jobs in the middle half of the span with a task that takes down each worker
+    /// which starts it. They count neither as offered nor as done.
+    pub crashing: f64,
 }
 
 /// How many times the bandwidth of a small scheduler's machine a large one's has.
@@ -141,6 +144,10 @@
     pub kinds: [KindReport; 3],
     /// The work that was offered and that was done in time, by windows of half a second.
     pub windows: Vec<(f64, f64)>,
+    /// How many lives of workers were taken down by a task.
+    pub crashes: u64,
+    /// Jobs that were given up for such a task, and that would have run whole.
+    pub misjudged: u64,
     /// The promise that was broken, if any.
     pub violation: Option<String>,
 }
@@ -241,7 +248,8 @@
         if slow {
             harm.play(&mut world, &plan);
         }
-        offered.push(offer(&mut world, plan.schedulers));
+        let crashing = if slow { plan.trouble.crashing } else { 0.0 };
+        offered.extend(offer(&mut world, plan.schedulers, crashing));
     }
     world.run(Duration::from_secs(6));
     report(&world, &offered, begin)
@@ -311,7 +319,8 @@
     (mean * (1.0 + spread * (sum - 6.0))).max(mean / 10.0)
 }
 
-fn offer(world: &mut World, schedulers: usize) -> Offered {
+/// Hands a job in. One with a task that takes workers down is not offered work.
+fn offer(world: &mut World, schedulers: usize, crashing: f64) -> Option<Offered> {
     let draw = world.rng.random_range(0.0..100.0);
     let mut kind = 0;
     let mut sum = KINDS[0].share;
@@ -354,6 +363,7 @@
             work_us: longest,
             works_us: works,
             poison: false,
+            crashing: None,
             settled: false,
             tries: 0,
         },
@@ -367,15 +377,20 @@
         },
     );
     let at = world.now;
+    // Nothing is drawn where none crash, so that the seeds of such runs give what they gave.
+    let crashes = crashing > 0.0 && world.rng.random_bool(crashing);
+    if crashes && let Some(job) = world.callers.jobs.get_mut(&number) {
+        job.crashing = Some(0);
+    }
     let scheduler = world.rng.random_range(0..schedulers);
     world.hand_in(number, scheduler);
-    Offered {
+    (!crashes).then_some(Offered {
         number,
         kind,
         at,
         objective_us: (longest as f64 * EXTENSION) as u64 + u64::from(OBJECTIVE_MS) * 1000,
         work,
-    }
+    })
 }
 
 fn report(world: &World, offered: &[Offered], begin: u64) -> LoadReport {
@@ -403,6 +418,8 @@
     LoadReport {
         kinds,
         windows,
+        crashes: world.crashes,
+        misjudged: world.witness.misjudged,
         violation: world.witness.violation.clone(),
     }
 }
--- a/lib/testutils/src/dispatch/witness.rs
+++ b/lib/testutils/src/dispatch/witness.rs
@@ -18,6 +18,10 @@
     pub done: HashSet<u32>,
     /// How often each task has failed.
     pub failed: HashMap<u32, u32>,
+    /// How many workers have crashed while each task ran there.
+    pub lost: HashMap<u32, u32>,
+    /// The task of it that takes workers down, if one has.
+    pub culprit: Option<Culprit>,
     /// How often it was handed in.
     pub handed_in: u32,
     /// How often it was refused.
@@ -26,6 +30,17 @@
     pub began: bool,
 }
 
+/// A task that takes down each worker which starts it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Culprit {
+    /// Which task of its job.
+    pub index: u32,
+    /// How many workers it has taken down.
+    pub crashes: u32,
+    /// How often it was started after [`CRASHES_BORNE`] of them.
+    pub more: u32,
+}
+
 /// Holds what is seen against the promises.
 #[derive(Clone, Debug, Default)]
 pub struct Witness {
@@ -41,10 +56,30 @@
     pub refused: u64,
     /// Jobs that ended otherwise.
     pub others: u64,
+    /// Jobs that were said to have failed for the crashes of workers and that would have run whole.
+    pub misjudged: u64,
 }
 
 /// A task that has failed so often fails its job.
 pub const MAX_ATTEMPTS: u32 = 3;
+/// A task may be given up once so many workers have crashed while it ran there.
+pub const CRASHES_ENOUGH: u32 = 2;
+/// After so many crashes a task that causes them is hardly started any more.
+pub const CRASHES_BORNE: u32 = 3;
+/// So many starts after that are too many.
+pub const MORE_STARTS: u32 = 3;
+
+impl SeenJob {
+    /// Notes that a task begins; says whether it takes workers down and was started too often.
+    fn starts_again(&mut self, index: u32) -> bool {
+        let spent = |c: &&mut Culprit| c.index == index && c.crashes >= CRASHES_BORNE;
+        let Some(culprit) = self.culprit.as_mut().filter(spent) else {
+            return false;
+        };
+        culprit.more += 1;
+        culprit.more >= MORE_STARTS
+    }
+}
 
 impl Witness {
     /// Notes a broken promise.
@@ -60,9 +95,15 @@
             return self.break_promise(format!("{task} was started and nobody asked for it"));
         };
         job.began = true;
+        let repeated = job.starts_again(task.index);
         if job.refused > 0 && job.refused == job.handed_in {
             self.break_promise(format!("{task} was started after its job was refused"));
         }
+        if repeated {
+            self.break_promise(format!(
+                "{task} was started {MORE_STARTS} times more after {CRASHES_BORNE} workers had crashed under it"
+            ));
+        }
         if elsewhere {
             self.break_promise(format!("{task} runs twice at once"));
         }
@@ -71,6 +112,22 @@
         }
     }
 
+    /// A task takes a worker down at which `running` runs, itself included.
+    pub fn crashed<'a>(&mut self, task: TaskName, running: impl Iterator<Item = &'a TaskName>) {
+        for lost in running {
+            if let Some(job) = self.jobs.get_mut(&lost.job) {
+                *job.lost.entry(lost.index).or_default() += 1;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let culprit = job.culprit.get_or_insert(Culprit {
+                index: task.index,
+                ..Culprit::default()
+            });
+            culprit.crashes += 1;
+        }
+    }
+
     /// A caller is told what became of its job.
     pub fn answered(&mut self, number: JobNumber, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(&number) else {
@@ -89,7 +146,11 @@
             JobOutcome::Failed => {
                 self.others += 1;
                 let often = job.failed.values().any(|n| *n >= MAX_ATTEMPTS);
-                if !often {
+                let lost = job.lost.values().any(|n| *n >= CRASHES_ENOUGH);
+                if !often && job.culprit.is_none() {
+                    self.misjudged += 1;
+                }
+                if !often && !lost {
                     self.break_promise(format!("{number} is said to have failed without cause"));
                 }
             }
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -56,6 +56,10 @@
 const STORE_THIRDS: u64 = 4;
 /// Workers beat this often, in microseconds.
 const BEAT_US: u64 = 500_000;
+/// A run that takes its worker down does so after this long, in microseconds.
+const CRASH_US: u64 = 10_000;
+/// The worker is back after this long, in microseconds.
+const CRASH_AWAY_US: u64 = 3_000_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
 const POLL_US: u64 = 1_000;
 
@@ -80,6 +84,10 @@
     Recall(usize, u64),
     /// The store tells a scheduler of a newer catalog.
     Catalog(usize, u64, Catalog),
+    /// A run takes down a life of a worker, if it is still there.
+    Crash(usize, String, RunName),
+    /// A worker that has crashed comes back.
+    Back(usize),
 }
 
 fn executor_name(number: usize) -> String {
@@ -114,6 +122,8 @@
     pub callers: Callers,
     /// The workers.
     pub workers: Vec<WorkerModel>,
+    /// How many lives of workers were taken down by a run.
+    pub crashes: u64,
     /// The links.
     pub network: Network,
     /// The share of orders to workers that get no answer and are carried out late.
@@ -172,6 +182,7 @@
             witness: Witness::default(),
             callers: Callers::with_catalog(catalog),
             workers: Vec::new(),
+            crashes: 0,
             network: Network::default(),
             late: 0.0,
             lost: 0.0,
@@ -294,6 +305,8 @@
             Due::Roster(n, life) => self.tell_roster(n, life),
             Due::Recall(n, life) => self.recall(n, life),
             Due::Catalog(n, life, catalog) => self.tell_catalog(n, life, catalog),
+            Due::Crash(n, life, run) => self.crash_under(n, &life, run),
+            Due::Back(n) => self.worker_back(n),
         }
     }
 
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -12,6 +12,8 @@
 
 use super::BEAT_US;
 use super::CAPACITY;
+use super::CRASH_AWAY_US;
+use super::CRASH_US;
 use super::Due;
 use super::HOLD_EXTRA_US;
 use super::ORDER_US;
@@ -37,6 +39,7 @@
             return self.witness.break_promise(format!("{task}: nobody's job"));
         };
         let (work_us, poison) = (job.work_of(task.index), job.poison);
+        let crashes = job.crashing == Some(task.index);
         let cpu = self.witness.jobs[&task.job].cpu;
         let reply = if self.workers[n].up {
             let now = self.now;
@@ -48,6 +51,10 @@
             if begun {
                 self.note_start(n, call.run, cpu);
             }
+            if begun && crashes {
+                let life = self.workers[n].life.clone();
+                self.at(CRASH_US, Due::Crash(n, life, call.run));
+            }
             reply
         } else {
             OrderReply::Unreachable
@@ -179,6 +186,32 @@
         self.workers[number].running.clear();
     }
 
+    /// A run takes its worker down, and all that runs there with it.
+    pub(super) fn crash_under(&mut self, n: usize, life: &str, run: RunName) {
+        let worker = &self.workers[n];
+        let there = worker.running.get(&run.task).map(|r| r.run);
+        if !worker.up || worker.life != life || there != Some(run.run) {
+            return;
+        }
+        self.print(Node::Executor(n), &format!("worker: crash under {run:?}"));
+        self.crashes += 1;
+        self.witness.crashed(run.task, worker.running.keys());
+        self.crash_worker(n);
+        self.at(CRASH_AWAY_US, Due::Back(n));
+    }
+
+    /// A worker is back as it was, in a new life.
+    pub(super) fn worker_back(&mut self, n: usize) {
+        let old = self.workers[n].clone();
+        if old.up {
+            return;
+        }
+        let mut worker = self.new_worker();
+        worker.capacity = old.capacity;
+        worker.pace = old.pace;
+        self.workers[n] = worker;
+    }
+
     /// A worker that had crashed is up again, in a new life.
     pub fn raise_worker(&mut self, number: usize) {
         if !self.workers[number].up {
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -1,6 +1,7 @@
 //! The randomised runs, with fixed seeds.
 
 mod test_catalog_spread;
+mod test_crashing_tasks;
 mod test_dispatch_load;
 mod test_dispatch_run;
 mod test_fleet_cost;
--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -55,6 +55,7 @@
                 link_mbit: 25,
                 queues: 1500,
                 restarts: 20,
+                crashing: 0.0,
             },
             ..plan(Policy::default())
         };
