scheduler, executor: a task under which workers crash is given up

Cause: only ends that a worker had listed as `failed` counted against a task. A run that had gone with its worker was placed again at once, at the emptiest worker left, until its job was of no use to anybody; and nothing of it outlived its scheduler. Class: a retry without a bound, since the failure shows as the loss of the place and not as the fault of the task.

Change: an executor whose worker is refused for 150 ms, or is followed by another life, judges what ran there (`dispatch/crashes.rs`): runs younger than 200 ms are suspects; a suspect goes to no worker with another one; a second crash with one suspect proves it, three crashes end any task. The record goes with starts, ends and confirmed claims.

A worker's end that was not announced is told as `crashed`, not `lost`: one test named the old word. The witness of the random run counts workers that crash by themselves, as it must to judge `failed`.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -172,6 +172,7 @@
         ("done", counts.done),
         ("failed", counts.failed),
         ("lost", counts.lost),
+        ("crashed", counts.crashed),
         ("stalled", counts.stalled),
         ("returned", counts.returned),
         ("leases_over", counts.lapsed),
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -9,6 +9,7 @@
 //! `docs/design/platform.md` says why the work is divided in this way.
 
 pub mod catalog;
+pub mod crashes;
 pub mod executor;
 pub mod model;
 pub mod policy;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -17,6 +17,7 @@
 use std::collections::VecDeque;
 
 use crate::dispatch::executor::claims::Claim;
+use crate::dispatch::executor::crashes::CrashMemory;
 use crate::dispatch::executor::health::Health;
 use crate::dispatch::executor::runs::Run;
 use crate::dispatch::executor::runs::Waiting;
@@ -102,6 +103,8 @@
     pub failed: u64,
     /// Runs that lapsed or were lost.
     pub lost: u64,
+    /// Runs that were at a worker when it crashed.
+    pub crashed: u64,
     /// Runs that stood still.
     pub stalled: u64,
     /// Tasks handed back without having run.
@@ -138,6 +141,7 @@
     queue: VecDeque<Waiting>,
     sessions: BTreeMap<String, Session>,
     claims: BTreeMap<JobNumber, Claim>,
+    memory: CrashMemory,
     /// The number of the last end told to any scheduler. It rises over all sessions, since a
     /// scheduler may outlive its session here.
     last_end: u64,
@@ -182,6 +186,7 @@
             queue: VecDeque::new(),
             sessions: BTreeMap::new(),
             claims: BTreeMap::new(),
+            memory: CrashMemory::default(),
             last_end: 0,
             profile_edition: sessions::edition_of(&proto::Profile::default()),
             leased: Vec::new(),
@@ -280,6 +285,7 @@
     pub fn tick(&mut self, now: Mono) {
         self.expire_leases(now);
         self.expire_claims(now);
+        self.memory.expire(now, self.setup.policy.claims.memory);
         self.settle_claims(now);
         self.expire_waiting(now);
         self.resend_stops(now);
@@ -319,6 +325,7 @@
 
     fn begin_life(&mut self, now: Mono, beat: WorkerBeat) {
         if self.worker.is_some() {
+            self.judge_crash(now);
             self.end_life(now, "another life has registered");
         }
         let detail = format!("{} of {}", beat.life, beat.service);
--- a/lib/src/dispatch/executor/crashes.rs
+++ b/lib/src/dispatch/executor/crashes.rs
@@ -1,11 +1,74 @@
-//! Lives of a worker that are over while something ran there.
+//! Lives of a worker that are over while something ran there, and what that says of the tasks.
+
+use std::collections::BTreeMap;
 
 use super::Executor;
+use super::RunState;
+use super::runs::Run;
+use super::runs::Waiting;
+use crate::dispatch::crashes::CrashRecord;
+use crate::dispatch::crashes::LostRun;
+use crate::dispatch::crashes::judge;
+use crate::dispatch::model::EndKind;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::TaskName;
 use crate::event::Kind;
 use crate::prelude::*;
+use crate::protos::dispatch as proto;
 
 /// At most so many runs are listed in one log line.
 const LISTED: usize = 12;
+/// At most so many tasks are remembered: 50 lives of workers with 20 runs each.
+const REMEMBERED: usize = 1000;
+
+/// What this executor has learned of tasks, for schedulers that do not know it.
+#[derive(Debug, Default)]
+pub(super) struct CrashMemory {
+    records: BTreeMap<TaskName, (Mono, CrashRecord)>,
+}
+
+impl CrashMemory {
+    fn note(&mut self, now: Mono, task: TaskName, record: CrashRecord) {
+        if self.records.len() >= REMEMBERED
+            && let Some(oldest) = self.records.iter().min_by_key(|(_, (at, _))| *at)
+        {
+            let oldest = *oldest.0;
+            self.records.remove(&oldest);
+        }
+        self.records.insert(task, (now, record));
+    }
+
+    fn of(&self, task: TaskName) -> CrashRecord {
+        let known = self.records.get(&task);
+        known.map(|(_, record)| *record).unwrap_or_default()
+    }
+
+    /// What is known of the tasks of a job, as it travels.
+    pub fn of_job(&self, job: JobNumber) -> impl Iterator<Item = proto::CrashedTask> {
+        let known = self.records.iter().filter(move |(task, _)| task.job == job);
+        known.map(|(task, (_, record))| proto::CrashedTask {
+            task: Some(task.proto(0)),
+            record: record.proto(),
+        })
+    }
+
+    pub fn expire(&mut self, now: Mono, age: Duration) {
+        self.records.retain(|_, (at, _)| now.since(*at) < age);
+    }
+}
+
+impl Run {
+    /// Whether it may be at the worker: it was sent there, and no stop of it is confirmed.
+    fn may_be_there(&self) -> bool {
+        !matches!(
+            self.state,
+            RunState::Stopping {
+                confirmed: Some(_),
+                ..
+            }
+        )
+    }
+}
 
 impl Executor {
     /// When the worker was last known to live: before it first failed to answer, if it does not
@@ -15,6 +78,61 @@
         silent.unwrap_or(now)
     }
 
+    /// The worker has crashed: judges the tasks that ran there. A worker that was leaving has not crashed.
+    pub(super) fn judge_crash(&mut self, now: Mono) {
+        if self.worker.as_ref().is_none_or(|w| w.beat.draining) {
+            return;
+        }
+        let ended = self.alive_until(now);
+        let there = |run: &Run| run.began <= ended && run.may_be_there();
+        let there = self.runs.iter().filter(|(_, run)| there(run));
+        let names: Vec<TaskName> = there.map(|(task, _)| *task).collect();
+        let lost = |task: &TaskName| LostRun {
+            age: ended.since(self.runs[task].began),
+            record: self.runs[task].crashes,
+        };
+        let lost: Vec<LostRun> = names.iter().map(lost).collect();
+        let judged = judge(&lost, &self.setup.policy.crashes);
+        for (task, record) in names.into_iter().zip(judged) {
+            self.memory.note(now, task, record);
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.crashes = record;
+                run.crashed = true;
+            }
+        }
+    }
+
+    /// Adds what is known here to what a scheduler has sent of a task.
+    pub(super) fn recall_crashes(&self, waiting: &mut Waiting) {
+        let known = self.memory.of(waiting.task);
+        waiting.crashes = waiting.crashes.merged(known);
+    }
+
+    /// Whether a task that waits must not start yet: two suspects that began together could not be
+    /// told apart if the worker crashed, and both would be tried once more.
+    pub(super) fn awaits_trial(&self, now: Mono, waiting: &Waiting) -> bool {
+        let window = self.setup.policy.crashes.window;
+        let tried = |run: &Run| run.crashes.suspect && now.since(run.began) < window;
+        waiting.crashes.suspect && self.runs.values().any(tried)
+    }
+
+    /// How the scheduler of a run is told that it was lost with its worker.
+    pub(super) fn lost_kind(&self, task: TaskName) -> EndKind {
+        let Some(run) = self.runs.get(&task) else {
+            return EndKind::Lost;
+        };
+        match run.state {
+            // Its start got no answer since the worker crashed meanwhile.
+            RunState::Stopping {
+                why: EndKind::Stalled,
+                ..
+            } if run.crashed => EndKind::Crashed,
+            RunState::Stopping { why, .. } => why,
+            _ if run.crashed => EndKind::Crashed,
+            _ => EndKind::Lost,
+        }
+    }
+
     /// Writes down what was at the worker when its life, or what was kept alive in it, ended, and for how
     /// long each run had been there: a run that began just before, again and again, is the likely cause.
     pub(super) fn log_lost(&mut self, now: Mono, cause: &str) {
@@ -22,11 +140,10 @@
             return;
         }
         let ended = self.alive_until(now);
-        let mut runs: Vec<_> = self.runs.iter().collect();
+        let mut runs: Vec<(&TaskName, &Run)> = self.runs.iter().collect();
         runs.sort_by_key(|(_, run)| ended.since(run.began));
-        let age = |run: &super::Run| crate::clock::millis(ended.since(run.began));
         let lines = runs.iter().take(LISTED);
-        let lines = lines.map(|(task, run)| format!("{task} run {} {} ms", run.run, age(run)));
+        let lines = lines.map(|(task, run)| run_in_words(**task, run, ended));
         let lines: Vec<String> = lines.collect();
         let detail = format!(
             "{}: {cause}, silent for {} ms; {} runs, the youngest first: {}",
@@ -38,3 +155,13 @@
         self.log(Kind::RunsLost, detail);
     }
 }
+
+fn run_in_words(task: TaskName, run: &Run, ended: Mono) -> String {
+    let age = crate::clock::millis(ended.since(run.began));
+    let verdict = match run.crashes {
+        CrashRecord { proven: true, .. } => " (the cause)",
+        CrashRecord { suspect: true, .. } => " (suspect)",
+        _ => "",
+    };
+    format!("{task} run {} {age} ms{verdict}", run.run)
+}
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -14,6 +14,11 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
+/// Why runs are lost, in the log: the worker was refused for so long that it is gone.
+const GONE: &str = "it is gone";
+/// The same: it has not answered, and nothing has kept them alive.
+const LAPSED: &str = "runs were not kept alive";
+
 impl Executor {
     /// The reply to a hold.
     pub fn held(&mut self, now: Mono, reply: HoldReply) {
@@ -124,14 +129,11 @@
         }
         let gone = *reply != HoldReply::NoAnswer && now.since(since) >= orders.gone_after;
         if gone || over {
-            self.log_lost(
-                now,
-                if gone {
-                    "it is gone"
-                } else {
-                    "runs were not kept alive"
-                },
-            );
+            if gone {
+                self.judge_crash(now);
+            }
+            let cause = if gone { GONE } else { LAPSED };
+            self.log_lost(now, cause);
             self.forget_runs(now);
             self.return_queue(now);
         }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -8,6 +8,7 @@
 use super::RunName;
 use super::StartCall;
 use super::StartRefusal;
+use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::TaskName;
@@ -55,6 +56,10 @@
     mark: (Mono, u32),
     /// How long it will still take at its present pace, once that was read.
     pub remaining: Option<Duration>,
+    /// What is known of its task from workers that crashed.
+    pub crashes: CrashRecord,
+    /// Whether its worker has crashed.
+    pub crashed: bool,
     spec: Rc<str>,
     checkpoint: String,
 }
@@ -108,6 +113,8 @@
     pub latest: Mono,
     pub spec: Rc<str>,
     pub checkpoint: String,
+    /// What is known of it from workers that crashed.
+    pub crashes: CrashRecord,
 }
 
 impl Executor {
@@ -126,7 +133,7 @@
         let mut at = 0;
         while at < self.queue.len() {
             let waiting = &self.queue[at];
-            if !self.may_start(waiting) {
+            if !self.may_start(now, waiting) {
                 at += 1;
                 continue;
             }
@@ -135,9 +142,11 @@
         }
     }
 
-    fn may_start(&self, waiting: &Waiting) -> bool {
+    fn may_start(&self, now: Mono, waiting: &Waiting) -> bool {
         let fits = waiting.demand.fits(self.used, self.capacity());
-        fits && !self.runs.contains_key(&waiting.task) && self.spread_allows(waiting)
+        fits && !self.runs.contains_key(&waiting.task)
+            && self.spread_allows(waiting)
+            && !self.awaits_trial(now, waiting)
     }
 
     /// Whether there will be room soon for a task that arrives now, behind those that wait.
@@ -172,6 +181,8 @@
             moved: now,
             mark: (now, 0),
             remaining: None,
+            crashes: waiting.crashes,
+            crashed: false,
             spec: waiting.spec,
             checkpoint: waiting.checkpoint,
         };
@@ -342,10 +353,7 @@
 
     /// A run is gone without the worker having said how.
     pub(super) fn end_run_lost(&mut self, now: Mono, task: TaskName) {
-        let kind = match self.runs.get(&task).map(|r| r.state) {
-            Some(RunState::Stopping { why, .. }) => why,
-            _ => EndKind::Lost,
-        };
+        let kind = self.lost_kind(task);
         self.end_run(now, task, kind);
     }
 
@@ -369,6 +377,7 @@
             EndKind::Done => self.counts.done += 1,
             EndKind::Failed => self.counts.failed += 1,
             EndKind::Lost => self.counts.lost += 1,
+            EndKind::Crashed => self.counts.crashed += 1,
             EndKind::Stalled => self.counts.stalled += 1,
             _ => self.counts.returned += 1,
         }
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -10,6 +10,7 @@
 use super::Executor;
 use super::runs::Run;
 use super::runs::Waiting;
+use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::Free;
@@ -187,7 +188,7 @@
                 step: start.step,
                 index: task.index,
             };
-            let waiting = Waiting {
+            let mut waiting = Waiting {
                 scheduler: scheduler.to_owned(),
                 task: name,
                 attempt: task.attempt,
@@ -198,7 +199,9 @@
                 latest: now + Duration::from_millis(u64::from(start.slack_ms)),
                 spec: spec.clone(),
                 checkpoint: task.checkpoint,
+                crashes: CrashRecord::from_proto(task.crashes),
             };
+            self.recall_crashes(&mut waiting);
             self.take_task(now, waiting, fresh);
         }
     }
@@ -207,6 +210,9 @@
         if self.claimed_from(&waiting.scheduler, waiting.task.job) {
             return self.tell_unstarted(now, &waiting, EndKind::Claimed);
         }
+        if waiting.crashes.is_final(&self.setup.policy.crashes) {
+            return self.tell_unstarted(now, &waiting, EndKind::Crashed);
+        }
         if !self.ready() || !fresh {
             return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
         }
@@ -284,6 +290,7 @@
             checkpoint,
             ran_us: crate::clock::micros(now.since(run.began)).max(1),
             waited_us: crate::clock::micros(run.waited),
+            crashes: run.crashes.proto(),
         };
         self.push_end(&run.scheduler, end);
     }
@@ -298,6 +305,7 @@
             checkpoint: String::new(),
             ran_us: 0,
             waited_us: crate::clock::micros(now.since(waiting.came)),
+            crashes: waiting.crashes.proto(),
         };
         self.push_end(&waiting.scheduler, end);
     }
@@ -361,7 +369,10 @@
             session.profile_told = edition_of(profile);
         }
         session.last_sent = now;
-        let claimed = session.claimed.drain(..).map(|j| j.0).collect();
+        let claimed: Vec<JobNumber> = session.claimed.drain(..).collect();
+        let crashed = claimed.iter().flat_map(|job| self.memory.of_job(*job));
+        let crashed = crashed.collect();
+        let claimed = claimed.iter().map(|job| job.0).collect();
         let denied = session.denied.drain(..).map(|j| j.0).collect();
         let slow = std::mem::take(&mut session.slow);
         let slow = slow.iter().filter_map(|task| slow_run(&self.runs, *task));
@@ -379,6 +390,7 @@
             denied,
             profile,
             slow,
+            crashed,
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, body));
--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -281,10 +281,12 @@
     Claimed,
     /// It never ran: there was no room when it arrived, nor would there be any soon.
     NoRoom,
+    /// The worker crashed while it ran there, or it never ran, since too many have.
+    Crashed,
 }
 
 impl EndKind {
-    const ALL: [EndKind; 9] = [
+    const ALL: [EndKind; 10] = [
         EndKind::Done,
         EndKind::Failed,
         EndKind::Stopped,
@@ -294,6 +296,7 @@
         EndKind::Expired,
         EndKind::Claimed,
         EndKind::NoRoom,
+        EndKind::Crashed,
     ];
 
     /// Its number in messages.
@@ -313,6 +316,7 @@
             EndKind::Expired => "expired",
             EndKind::Claimed => "claimed",
             EndKind::NoRoom => "no-room",
+            EndKind::Crashed => "crashed",
         }
     }
 
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -101,6 +101,18 @@
     }
 }
 
+section! {
+    /// When a task is held to take workers down. `lib/src/dispatch/crashes.rs` tells why.
+    Crashes ("crashes") {
+        /// Runs that began within this time before a worker crashed are suspects. The crashes seen came 10 ms after a start; twenty times that.
+        window: ms = 200, 0..=60_000;
+        /// A task is given up after so many crashes if it is the only suspect of the last. One crash proves nothing.
+        proven: count = 2, 1..=1000;
+        /// A task is given up after so many crashes, suspect or not. From the users' pages: two more starts after three are the most.
+        most: count = 3, 1..=1000;
+    }
+}
+
 section! {
     /// What executors ask of their workers, and how often.
     Orders ("orders") {
@@ -287,6 +299,8 @@
     placement: Placement,
     /// How slow, failing and hanging workers are told.
     health: Health,
+    /// When a task is held to take workers down.
+    crashes: Crashes,
     /// What executors ask of their workers.
     orders: Orders,
     /// What processes tell each other.
@@ -328,6 +342,9 @@
                 "must not be above `trial_last_ms`",
             );
         }
+        if self.crashes.proven > self.crashes.most {
+            findings.add("/crashes/proven", "must not be above `most`");
+        }
         if self.cells.silence < self.cells.heartbeat * 2 {
             let message = "must be at least twice `heartbeat_ms`: else links on standby are closed";
             findings.add("/cells/silence_ms", message);
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -3,6 +3,7 @@
 use super::Scheduler;
 use super::fleet::ExecutorKey;
 use super::jobs::TaskState;
+use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::EndKind;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
@@ -33,9 +34,52 @@
         {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        self.note_crashes(name, CrashRecord::from_proto(end.crashes));
         self.task_gone(key, name, attempt, kind);
     }
 
+    /// Takes note of what an executor knows of a task from workers that crashed.
+    fn note_crashes(&mut self, name: TaskName, record: CrashRecord) {
+        if let Some(job) = self.jobs.get_mut(&name.job)
+            && let Some(task) = job.task_mut(name)
+        {
+            task.crashes = task.crashes.merged(record);
+        }
+    }
+
+    /// An executor where a job was claimed tells what it knows of its tasks: the scheduler that had the
+    /// job before may have learned it, and be lost.
+    pub(super) fn task_crashed_before(&mut self, crashed: &proto::CrashedTask) {
+        let Some(task) = &crashed.task else {
+            return;
+        };
+        let (name, _) = TaskName::from_proto(task);
+        self.note_crashes(name, CrashRecord::from_proto(crashed.record));
+        self.give_up_crashing(name);
+    }
+
+    /// Gives a job up if workers crash under a task of it; says whether it did. Without a bound on such
+    /// runs one task was started at nine workers in 1.4 s, and all of them were down for three seconds.
+    fn give_up_crashing(&mut self, name: TaskName) -> bool {
+        let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else {
+            return false;
+        };
+        let record = task.crashes;
+        if !record.is_final(&self.setup.policy.crashes) {
+            return false;
+        }
+        let cause = if record.proven {
+            "the cause"
+        } else {
+            "present"
+        };
+        let detail = format!("{name}: {} workers, {cause}", record.count);
+        self.log(Kind::TaskCrashes, detail);
+        self.count_cause("crashes");
+        self.end_job(name.job, JobOutcome::Failed, "crashes");
+        true
+    }
+
     /// Learns how long tasks of a queue take against their estimates.
     fn learn(&mut self, name: TaskName, ran: Duration) {
         let Some(job) = self.jobs.get(&name.job) else {
@@ -123,6 +167,12 @@
             }
             EndKind::Claimed => return self.lose_job(number),
             EndKind::Unavailable => self.not_available(key),
+            EndKind::Crashed => {
+                task.avoid = Some(key);
+                if self.give_up_crashing(name) {
+                    return;
+                }
+            }
             EndKind::Stalled | EndKind::Lost => task.avoid = Some(key),
             EndKind::Done | EndKind::Stopped | EndKind::Expired | EndKind::NoRoom => {}
         }
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -347,6 +347,9 @@
         for job in update.denied {
             self.lose_job(JobNumber(job));
         }
+        for task in &update.crashed {
+            self.task_crashed_before(task);
+        }
         for job in update.claimed {
             self.claim_confirmed(JobNumber(job), key);
         }
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -6,6 +6,7 @@
 use super::CallerId;
 use super::fleet::ExecutorKey;
 use crate::dispatch::catalog::Queue;
+use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::JobRequest;
 use crate::dispatch::model::Step;
 use crate::dispatch::model::TaskName;
@@ -34,6 +35,8 @@
     pub attempts: u32,
     pub failures: u32,
     pub checkpoint: String,
+    /// What is known of it from workers that crashed.
+    pub crashes: CrashRecord,
     /// Where it last failed.
     pub avoid: Option<ExecutorKey>,
     /// Whether its run was stopped because it went slowly. That is done once.
@@ -219,6 +222,7 @@
                 attempts: 0,
                 failures: 0,
                 checkpoint: String::new(),
+                crashes: CrashRecord::default(),
                 avoid: None,
                 moved: false,
             });
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -161,7 +161,9 @@
             let Some((key, trial)) = self.choose(job, step, avoid, free, plan) else {
                 return;
             };
-            let most = if trial { 1 } else { share };
+            // Suspects of one crash go to different workers, so that a second one tells which it was.
+            let suspect = job.tasks[todo[next]].crashes.suspect;
+            let most = if trial || suspect { 1 } else { share };
             let mut placed = 0;
             while placed < most && next < todo.len() && free[key].holds(demand) {
                 plan.push(Placing {
@@ -174,7 +176,7 @@
                 next += 1;
                 placed += 1;
             }
-            if trial {
+            if trial || suspect {
                 free.remove(key);
             }
         }
@@ -222,6 +224,7 @@
                     index: task.index,
                     attempt: task.attempts,
                     checkpoint: task.checkpoint.clone(),
+                    crashes: task.crashes.proto(),
                 });
             }
         }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -89,6 +89,7 @@
     JobJoined = 407, Info, "a job came again and is answered with the one that is held or has ended here";
     TaskAgain = 410, Info, "a task is to be placed again";
     TaskMoved = 411, Info, "a run goes slowly and is stopped, to run elsewhere";
+    TaskCrashes = 412, Warn, "workers crash under a task; it is given up, and its job with it";
     WorkerUp = 420, Info, "a worker has registered";
     WorkerReady = 421, Info, "a worker takes tasks";
     WorkerDraining = 422, Info, "a worker is leaving and takes no new tasks";
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -82,6 +82,29 @@
     /// Where an earlier run left off; empty for the beginning.
     #[prost(string, tag = "3")]
     pub checkpoint: ::prost::alloc::string::String,
+    /// Absent if nothing is known.
+    #[prost(message, optional, tag = "4")]
+    pub crashes: ::core::option::Option<CrashRecord>,
+}
+/// What is known of a task from workers that crashed while it ran there.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashRecord {
+    /// How many there were.
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    /// Whether the task may have been the cause of one.
+    #[prost(bool, tag = "2")]
+    pub suspect: bool,
+    /// Whether it was the cause.
+    #[prost(bool, tag = "3")]
+    pub proven: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashedTask {
+    #[prost(message, optional, tag = "1")]
+    pub task: ::core::option::Option<TaskRef>,
+    #[prost(message, optional, tag = "2")]
+    pub record: ::core::option::Option<CrashRecord>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskRef {
@@ -151,6 +174,9 @@
     /// How long the task waited at the executor, in microseconds.
     #[prost(uint64, tag = "6")]
     pub waited_us: u64,
+    /// What is known of it by then; absent if nothing is.
+    #[prost(message, optional, tag = "7")]
+    pub crashes: ::core::option::Option<CrashRecord>,
 }
 /// From an executor to a scheduler.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -176,6 +202,9 @@
     /// Runs of the receiver that go slowly at a worker that is slow.
     #[prost(message, repeated, tag = "9")]
     pub slow: ::prost::alloc::vec::Vec<SlowRun>,
+    /// What is known here of tasks of the claimed jobs.
+    #[prost(message, repeated, tag = "10")]
+    pub crashed: ::prost::alloc::vec::Vec<CrashedTask>,
 }
 /// What changes seldom of an executor and its worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -135,7 +135,7 @@
         let task = |index: &u32| proto::TaskStart {
             index: *index,
             attempt: 1,
-            checkpoint: String::new(),
+            ..proto::TaskStart::default()
         };
         let starts = vec![proto::StartTasks {
             job,
@@ -417,7 +417,7 @@
             tasks: vec![proto::TaskStart {
                 index: 0,
                 attempt: 1,
-                checkpoint: String::new(),
+                ..proto::TaskStart::default()
             }],
             slack_ms: 1000,
             ..proto::StartTasks::default()
--- a/lib/tests/runner/test_executor/crashes.rs
+++ b/lib/tests/runner/test_executor/crashes.rs
@@ -2,6 +2,54 @@
 
 use super::*;
 
+const SUSPECT: proto::CrashRecord = proto::CrashRecord {
+    count: 1,
+    suspect: true,
+    proven: false,
+};
+const PROVEN: proto::CrashRecord = proto::CrashRecord {
+    count: 2,
+    suspect: true,
+    proven: true,
+};
+
+impl Bench {
+    /// Sends a task of which something is known.
+    fn start_known(&mut self, link: LinkId, job: u64, crashes: proto::CrashRecord) {
+        let task = proto::TaskStart {
+            attempt: 1,
+            crashes: Some(crashes),
+            ..proto::TaskStart::default()
+        };
+        let start = proto::StartTasks {
+            job,
+            demand: Some(proto::Demand {
+                cpu_milli: 100,
+                ..proto::Demand::default()
+            }),
+            tasks: vec![task],
+            slack_ms: 5000,
+            ..proto::StartTasks::default()
+        };
+        let orders = proto::Orders {
+            starts: vec![start],
+            ..proto::Orders::default()
+        };
+        self.orders(link, orders);
+    }
+
+    /// What became of jobs, and what is known of their tasks.
+    fn records(&self, link: LinkId) -> Vec<(u64, EndKind, Option<proto::CrashRecord>)> {
+        let updates = self.updates(link);
+        let ends = updates.iter().flat_map(|u| u.ends.iter());
+        let row = |e: &proto::TaskEnd| {
+            let kind = EndKind::from_code(e.kind).expect("a kind");
+            (e.task.expect("a task").job, kind, e.crashes)
+        };
+        ends.map(row).collect()
+    }
+}
+
 /// Lets a worker that refuses connections from now on be taken for gone.
 fn crash(bench: &mut Bench) {
     bench.held(HoldReply::NoAnswer);
@@ -32,7 +80,8 @@
         panic!("told {told:?}");
     };
     let runs = "2 runs, the youngest first: \
-                0000000000000002.0.0.0 run 1 10 ms, 0000000000000001.0.0.0 run 1 80 ms";
+                0000000000000002.0.0.0 run 1 10 ms (suspect), \
+                0000000000000001.0.0.0 run 1 80 ms (suspect)";
     assert!(told.contains("it is gone, silent for 150 ms"), "{told}");
     assert!(told.ends_with(runs), "{told}");
 }
@@ -47,3 +96,135 @@
     assert_eq!(told.len(), 1);
     assert!(told[0].contains("w1: another life has registered"));
 }
+
+#[test]
+fn test_executor_tells_which_runs_may_have_crashed_their_worker() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.pass(100);
+    bench.lists_at(50, &[run(1, 0, 1)], Vec::new());
+    bench.pass(150);
+    bench.lists_at(60, &[run(1, 0, 1)], Vec::new());
+    bench.start(ONE, 2, &[0]);
+    bench.pass(10);
+    crash(&mut bench);
+    let passenger = proto::CrashRecord {
+        count: 1,
+        ..proto::CrashRecord::default()
+    };
+    let told = [
+        (1, EndKind::Crashed, Some(passenger)),
+        (2, EndKind::Crashed, Some(SUSPECT)),
+    ];
+    assert_eq!(bench.records(ONE), told);
+}
+
+#[test]
+fn test_executor_proves_a_suspect_by_a_second_crash() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.start_known(ONE, 2, SUSPECT);
+    crash(&mut bench);
+    let cause = (2, EndKind::Crashed, Some(PROVEN));
+    assert_eq!(bench.records(ONE)[1], cause);
+    assert_matches!(
+        bench.records(ONE)[0].2,
+        Some(r) if !r.suspect,
+        "what began beside it is not suspected"
+    );
+}
+
+/// The start of a task that crashes its worker at once gets no answer.
+#[test]
+fn test_executor_suspects_a_run_whose_start_got_no_answer() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::NoAnswer);
+    crash(&mut bench);
+    let told = (1, EndKind::Crashed, Some(SUSPECT));
+    assert_eq!(bench.records(ONE), [told]);
+}
+
+#[test]
+fn test_executor_blames_nobody_for_a_worker_that_leaves() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.beat("w1", true, 2);
+    crash(&mut bench);
+    assert_eq!(bench.records(ONE), [(1, EndKind::Lost, None)]);
+}
+
+#[test]
+fn test_executor_blames_nobody_for_a_worker_that_is_only_silent() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    for _ in 0..200 {
+        bench.pass(10);
+        bench.orders(ONE, proto::Orders::default());
+        bench.held(HoldReply::NoAnswer);
+    }
+    assert_eq!(bench.records(ONE), [(1, EndKind::Lost, None)]);
+}
+
+#[test]
+fn test_executor_tries_one_suspect_at_a_time() {
+    let mut bench = Bench::ready();
+    bench.start_known(ONE, 1, SUSPECT);
+    bench.start_known(ONE, 2, SUSPECT);
+    bench.start(ONE, 3, &[0]);
+    assert_eq!(bench.started(), [run(1, 0, 1), run(3, 0, 1)]);
+    bench.pass(250);
+    assert_eq!(bench.started().last(), Some(&run(2, 0, 1)));
+}
+
+#[test]
+fn test_executor_does_not_start_a_task_that_is_the_cause() {
+    let mut bench = Bench::ready();
+    bench.start_known(ONE, 1, PROVEN);
+    assert_eq!(bench.started(), []);
+    assert_eq!(bench.records(ONE), [(1, EndKind::Crashed, Some(PROVEN))]);
+}
+
+/// A claimant may never have heard of the task: its scheduler was lost with what it knew.
+#[test]
+fn test_executor_tells_a_claimant_what_it_knows_of_the_tasks() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    crash(&mut bench);
+    bench.link(TWO, "two");
+    bench.claim(TWO, 1);
+    for _ in 0..3 {
+        bench.pass(400);
+        bench.orders(TWO, proto::Orders::default());
+    }
+    let known = bench.updates(TWO).into_iter().flat_map(|u| u.crashed);
+    let known: Vec<proto::CrashedTask> = known.collect();
+    assert_eq!(known.len(), 1);
+    assert_eq!(known[0].record, Some(SUSPECT));
+    bench.beat("w2", false, 1);
+    bench.lists(&[], Vec::new());
+    bench.start(TWO, 1, &[0]);
+    bench.pass(10);
+    crash(&mut bench);
+    assert_eq!(bench.records(TWO), [(1, EndKind::Crashed, Some(PROVEN))]);
+}
+
+#[test]
+fn test_executor_remembers_a_bounded_number_of_tasks() {
+    let mut bench = Bench::ready();
+    for life in 0..600u64 {
+        bench.start(ONE, 1000 + life, &[0, 1]);
+        bench.pass(10);
+        bench.beat(&format!("x{life}"), false, 1);
+        bench.lists(&[], Vec::new());
+    }
+    let proven = |r: &(u64, EndKind, Option<proto::CrashRecord>)| r.1 == EndKind::Crashed;
+    assert!(bench.records(ONE).iter().filter(|r| proven(r)).count() >= 1000);
+    bench.claim(ONE, 1000);
+    bench.claim(ONE, 1599);
+    let told = bench.updates(ONE).into_iter().flat_map(|u| u.crashed);
+    let jobs: Vec<u64> = told.map(|t| t.task.expect("a task").job).collect();
+    assert_eq!(jobs, [1599, 1599], "the oldest are forgotten");
+}
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -4,6 +4,7 @@
 mod catalogs;
 mod cells;
 mod claims;
+mod crashes;
 mod slow;
 
 use std::rc::Rc;
--- a/lib/testutils/src/dispatch/witness.rs
+++ b/lib/testutils/src/dispatch/witness.rs
@@ -112,13 +112,17 @@
         }
     }
 
-    /// A task takes a worker down at which `running` runs, itself included.
-    pub fn crashed<'a>(&mut self, task: TaskName, running: impl Iterator<Item = &'a TaskName>) {
+    /// A worker crashes at which `running` runs.
+    pub fn crashed<'a>(&mut self, running: impl Iterator<Item = &'a TaskName>) {
         for lost in running {
             if let Some(job) = self.jobs.get_mut(&lost.job) {
                 *job.lost.entry(lost.index).or_default() += 1;
             }
         }
+    }
+
+    /// A task takes a worker down.
+    pub fn crashed_by(&mut self, task: TaskName) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             let culprit = job.culprit.get_or_insert(Culprit {
                 index: task.index,
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -182,6 +182,9 @@
 
     /// A worker crashes; another life of it comes up at once or later.
     pub fn crash_worker(&mut self, number: usize) {
+        if self.workers[number].up {
+            self.witness.crashed(self.workers[number].running.keys());
+        }
         self.workers[number].up = false;
         self.workers[number].running.clear();
     }
@@ -195,7 +198,7 @@
         }
         self.print(Node::Executor(n), &format!("worker: crash under {run:?}"));
         self.crashes += 1;
-        self.witness.crashed(run.task, worker.running.keys());
+        self.witness.crashed_by(run.task);
         self.crash_worker(n);
         self.at(CRASH_AWAY_US, Due::Back(n));
     }
