executor: a run that may never have arrived proves nothing

Change: a run whose start was neither answered nor listed is suspected, counted apart (`unsure`), and never proven by that crash; five crashes of both kinds end a task, so that one whose starts never get an answer stays within the two more starts that are allowed after three crashes.

Also: the random run suspends machines (`--suspend`).

Tried and reverted: a suspect is proven only if nothing else began beside it.

--- a/lib/src/dispatch/crashes.rs
+++ b/lib/src/dispatch/crashes.rs
@@ -21,6 +21,8 @@
     pub suspect: bool,
     /// Whether it was the cause.
     pub proven: bool,
+    /// How many have crashed while a start of it had no answer yet: it may never have arrived.
+    pub unsure: u32,
 }
 
 impl CrashRecord {
@@ -31,6 +33,7 @@
             count: r.count,
             suspect: r.suspect,
             proven: r.proven,
+            unsure: r.unsure,
         }
     }
 
@@ -40,6 +43,7 @@
             count: self.count,
             suspect: self.suspect,
             proven: self.proven,
+            unsure: self.unsure,
         })
     }
 
@@ -50,21 +54,33 @@
             count: self.count.max(other.count),
             suspect: self.suspect || other.suspect,
             proven: self.proven || other.proven,
+            unsure: self.unsure.max(other.unsure),
         }
     }
 
     /// Whether the task is not started any more.
     pub fn is_final(self, policy: &Crashes) -> bool {
-        self.proven || self.count >= policy.most
+        let all = self.count.saturating_add(self.unsure);
+        self.proven || self.count >= policy.most || all >= policy.most_unsure
     }
 
     /// The record after one more crash.
     fn after(self, blamed: bool, alone: bool, policy: &Crashes) -> CrashRecord {
-        let count = self.count + 1;
+        let count = self.count.saturating_add(1);
         CrashRecord {
             count,
             suspect: self.suspect || blamed,
             proven: self.proven || (blamed && alone && count >= policy.proven),
+            ..self
+        }
+    }
+
+    /// The record after a crash by which the run may not have arrived.
+    fn after_unsure(self) -> CrashRecord {
+        CrashRecord {
+            suspect: true,
+            unsure: self.unsure.saturating_add(1),
+            ..self
         }
     }
 }
@@ -74,6 +90,9 @@
 pub struct LostRun {
     /// How long it had run.
     pub age: Duration,
+    /// Whether it is known to have been there. The start of a task that takes its worker down at once gets no answer,
+    /// and so does one that never arrived.
+    pub certain: bool,
     /// What was known of its task before.
     pub record: CrashRecord,
 }
@@ -86,20 +105,24 @@
 
 /// What is known of each run's task after the crash of the worker at which they were.
 pub fn judge(runs: &[LostRun], policy: &Crashes) -> Vec<CrashRecord> {
-    let on_trial = |r: &LostRun| r.record.suspect && r.is_young(policy);
-    let young = |r: &LostRun| r.is_young(policy);
+    let young = |r: &LostRun| r.certain && r.is_young(policy);
+    let on_trial = |r: &LostRun| r.record.suspect && young(r);
     let blamed: Vec<bool> = if runs.iter().any(on_trial) {
         runs.iter().map(on_trial).collect()
     } else if runs.iter().any(young) {
         runs.iter().map(young).collect()
     } else {
-        vec![true; runs.len()]
+        runs.iter().map(|r| r.certain).collect()
     };
     let alone = blamed.iter().filter(|b| **b).count() == 1;
-    let judged = runs.iter().zip(blamed);
-    judged
-        .map(|(run, blamed)| run.record.after(blamed, alone, policy))
-        .collect()
+    let after = |(run, blamed): (&LostRun, bool)| {
+        if run.certain {
+            run.record.after(blamed, alone, policy)
+        } else {
+            run.record.after_unsure()
+        }
+    };
+    runs.iter().zip(blamed).map(after).collect()
 }
 
 #[cfg(test)]
--- a/lib/src/dispatch/crashes/tests.rs
+++ b/lib/src/dispatch/crashes/tests.rs
@@ -5,6 +5,7 @@
 fn run(age_ms: u64, record: CrashRecord) -> LostRun {
     LostRun {
         age: Duration::from_millis(age_ms),
+        certain: true,
         record,
     }
 }
@@ -13,11 +14,13 @@
     count: 0,
     suspect: false,
     proven: false,
+    unsure: 0,
 };
 const SUSPECT: CrashRecord = CrashRecord {
     count: 1,
     suspect: true,
     proven: false,
+    unsure: 0,
 };
 
 #[test]
@@ -71,12 +74,43 @@
     assert!(late.is_final(&policy));
 }
 
+/// A start without an answer met the crash of a worker that another task took down: it never ran there, and was held to be
+/// the cause since it had been a suspect before.
+#[test]
+fn test_judge_does_not_prove_a_run_that_may_never_have_arrived() {
+    let policy = Crashes::default();
+    let unsure = LostRun {
+        certain: false,
+        ..run(10, SUSPECT)
+    };
+    let judged = judge(&[unsure, run(11, FRESH)], &policy);
+    assert!(!judged[0].is_final(&policy));
+    assert_eq!((judged[0].count, judged[0].unsure), (1, 1));
+    assert_eq!(judged[1], SUSPECT, "what surely was there is suspected");
+}
+
+#[test]
+fn test_judge_gives_up_a_task_whose_starts_never_get_an_answer() {
+    let policy = Crashes::default();
+    let mut record = FRESH;
+    let mut crashes = 0;
+    while !record.is_final(&policy) {
+        let unsure = LostRun {
+            certain: false,
+            ..run(1, record)
+        };
+        record = judge(&[unsure, run(300, FRESH)], &policy)[0];
+        crashes += 1;
+    }
+    assert_eq!(crashes, policy.most_unsure);
+}
+
 #[test]
 fn test_crash_record_merges_what_two_processes_know() {
     let proven = CrashRecord {
         count: 2,
-        suspect: true,
         proven: true,
+        ..SUSPECT
     };
     assert_eq!(SUSPECT.merged(proven), proven);
     assert_eq!(proven.merged(FRESH), proven);
--- a/lib/src/dispatch/executor/crashes.rs
+++ b/lib/src/dispatch/executor/crashes.rs
@@ -58,6 +58,11 @@
 }
 
 impl Run {
+    /// Whether the worker has confirmed its start, or listed it.
+    fn was_there(&self) -> bool {
+        self.listed_by != u64::MAX
+    }
+
     /// Whether it may be at the worker: it was sent there, and no stop of it is confirmed.
     fn may_be_there(&self) -> bool {
         !matches!(
@@ -89,6 +94,7 @@
         let names: Vec<TaskName> = there.map(|(task, _)| *task).collect();
         let lost = |task: &TaskName| LostRun {
             age: ended.since(self.runs[task].began),
+            certain: self.runs[task].was_there(),
             record: self.runs[task].crashes,
         };
         let lost: Vec<LostRun> = names.iter().map(lost).collect();
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -110,6 +110,8 @@
         proven: count = 2, 1..=1000;
         /// A task is given up after so many crashes, suspect or not. From the users' pages: two more starts after three are the most.
         most: count = 3, 1..=1000;
+        /// The same, counting crashes that met a start without an answer: it may never have arrived. Three crashes, and the two more starts that are allowed.
+        most_unsure: count = 5, 1..=1000;
     }
 }
 
@@ -345,6 +347,9 @@
         if self.crashes.proven > self.crashes.most {
             findings.add("/crashes/proven", "must not be above `most`");
         }
+        if self.crashes.most > self.crashes.most_unsure {
+            findings.add("/crashes/most", "must not be above `most_unsure`");
+        }
         if self.cells.silence < self.cells.heartbeat * 2 {
             let message = "must be at least twice `heartbeat_ms`: else links on standby are closed";
             findings.add("/cells/silence_ms", message);
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -98,6 +98,9 @@
     /// Whether it was the cause.
     #[prost(bool, tag = "3")]
     pub proven: bool,
+    /// How many more there were while a start of it had no answer yet.
+    #[prost(uint32, tag = "4")]
+    pub unsure: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashedTask {
--- a/lib/tests/runner/test_scheduler/crashes.rs
+++ b/lib/tests/runner/test_scheduler/crashes.rs
@@ -74,6 +74,7 @@
         count,
         suspect: true,
         proven: false,
+        unsure: 0,
     }
 }
 
@@ -81,6 +82,7 @@
     count: 2,
     suspect: true,
     proven: true,
+    unsure: 0,
 };
 
 #[test]
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -9,6 +9,7 @@
 use clap::value_parser;
 use stackcourse_testutils::dispatch::run;
 use stackcourse_testutils::dispatch::run::RunPlan;
+use stackcourse_testutils::dispatch::run::Suspensions;
 
 fn main() -> ExitCode {
     let matches = Command::new("dispatch-run")
@@ -31,6 +32,18 @@
                 .action(ArgAction::SetTrue)
                 .help("Also kill all schedulers, all executors or everybody at once"),
         )
+        .arg(
+            Arg::new("crashing")
+                .long("crashing")
+                .action(ArgAction::SetTrue)
+                .help("Also hand in jobs with a task that takes workers down"),
+        )
+        .arg(
+            Arg::new("suspend")
+                .long("suspend")
+                .value_parser(["counted", "uncounted"])
+                .help("Also suspend machines; whether clocks count the time"),
+        )
         .arg(
             Arg::new("trace")
                 .long("trace")
@@ -42,6 +55,11 @@
     let span = Duration::from_secs(value("span"));
     let trace = matches.get_flag("trace");
     let losses = matches.get_flag("losses");
+    let suspensions = match matches.get_one::<String>("suspend").map(String::as_str) {
+        Some("counted") => Suspensions::Counted,
+        Some(_) => Suspensions::Uncounted,
+        None => Suspensions::None,
+    };
     let mut broken = 0;
     let mut steps = 0;
     let mut starts = 0;
@@ -51,6 +69,8 @@
             span,
             losses,
             cell: value("cell") as u32,
+            crashing: matches.get_flag("crashing"),
+            suspensions,
             trace,
         });
         steps += report.steps;
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -1,6 +1,7 @@
 //! Randomised runs: load and faults drawn from a seed, which reproduces the run.
 
 use rand::Rng;
+use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::prelude::Duration;
 
@@ -33,11 +34,27 @@
 pub const RECOVERED: u64 = 80;
 /// How likely a loss of many is at each step.
 const LOSSES: f64 = 0.004;
+/// How likely a job has a task that takes workers down.
+const CRASHING: f64 = 0.02;
+/// How likely a suspension is at each step.
+const SUSPENSIONS: f64 = 0.02;
 /// Jobs handed in while it is calm again.
 const CALM_JOBS: u64 = 60;
 
+/// Whether machines are suspended, and what the clock of a process makes of that.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Suspensions {
+    /// None is.
+    #[default]
+    None,
+    /// Clocks count the time.
+    Counted,
+    /// Clocks stand still meanwhile, as the steady clock of the system does.
+    Uncounted,
+}
+
 /// What to run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RunPlan {
     /// The seed.
     pub seed: u64,
@@ -47,6 +64,10 @@
     pub losses: bool,
     /// At how many executors a scheduler places tasks; 0 for all of them.
     pub cell: u32,
+    /// Whether some jobs have a task that takes down each worker which starts it.
+    pub crashing: bool,
+    /// Whether machines are suspended.
+    pub suspensions: Suspensions,
     /// Whether to print what happens.
     pub trace: bool,
 }
@@ -56,9 +77,7 @@
     run_plan(RunPlan {
         seed,
         span,
-        losses: false,
-        cell: 0,
-        trace: false,
+        ..RunPlan::default()
     })
 }
 
@@ -79,7 +98,13 @@
     while world.now < end && world.witness.violation.is_none() {
         let pause = world.rng.random_range(1..90);
         world.run(Duration::from_millis(pause));
-        hand_in(&mut world);
+        let number = hand_in(&mut world);
+        if plan.crashing && world.rng.random_bool(CRASHING) {
+            make_crashing(&mut world, number);
+        }
+        if plan.suspensions != Suspensions::None && world.rng.random_bool(SUSPENSIONS) {
+            suspend(&mut world, plan.suspensions == Suspensions::Counted);
+        }
         if world.rng.random_bool(faults) {
             fault(&mut world);
         }
@@ -116,11 +141,31 @@
     policy
 }
 
-fn hand_in(world: &mut World) {
+/// Makes a task of a job take down each worker which starts it. None has begun yet.
+fn make_crashing(world: &mut World, number: JobNumber) {
+    if let Some(job) = world.callers.jobs.get_mut(&number) {
+        let count = job.request.steps[0].count;
+        job.crashing = Some(world.rng.random_range(0..count));
+    }
+}
+
+/// Suspends a process for up to some seconds; one in four times another one together with it.
+fn suspend(world: &mut World, counted: bool) {
+    let span = world.rng.random_range(100_000..5_000_000);
+    let others = world.rng.random_bool(0.25);
+    for _ in 0..=u32::from(others) {
+        let node = any_node(world);
+        world.print(node, &format!("suspended for {span} us"));
+        world.suspend(node, span, counted);
+    }
+}
+
+fn hand_in(world: &mut World) -> JobNumber {
     let number = world.callers.new_job(&mut world.rng, &mut world.witness);
     let (schedulers, _) = world.size();
     let at = world.rng.random_range(0..schedulers);
     world.hand_in(number, at);
+    number
 }
 
 fn any_node(world: &mut World) -> Node {
--- a/lib/testutils/src/dispatch/witness.rs
+++ b/lib/testutils/src/dispatch/witness.rs
@@ -18,7 +18,7 @@
     pub done: HashSet<u32>,
     /// How often each task has failed.
     pub failed: HashMap<u32, u32>,
-    /// How many workers have crashed while each task ran there.
+    /// How many workers have crashed while each task ran there, or had ended there and nobody knew.
     pub lost: HashMap<u32, u32>,
     /// The task of it that takes workers down, if one has.
     pub culprit: Option<Culprit>,
@@ -112,7 +112,7 @@
         }
     }
 
-    /// A worker crashes at which `running` runs.
+    /// A worker crashes at which `running` runs or has ended unknown to all others.
     pub fn crashed<'a>(&mut self, running: impl Iterator<Item = &'a TaskName>) {
         for lost in running {
             if let Some(job) = self.jobs.get_mut(&lost.job) {
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -186,6 +186,12 @@
         self.finished.iter().any(|f| f.number > seen)
     }
 
+    /// The tasks that its executor must take to be there: what runs, and what has ended untold.
+    pub fn known_there(&self) -> impl Iterator<Item = &TaskName> {
+        let ended = self.finished.iter().map(|f| &f.run.task);
+        self.running.keys().chain(ended)
+    }
+
     /// Ends what is over by now; gives the ends.
     pub fn advance(&mut self, now: u64) -> Vec<(RunName, WorkerEnd)> {
         let lapsed = now >= self.held_until;
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -480,6 +480,19 @@
         }
     }
 
+    /// Suspends a process with its machine. `counted` says whether its clock goes on meanwhile.
+    pub fn suspend(&mut self, node: Node, span: u64, counted: bool) {
+        self.freeze(node, span);
+        if counted {
+            return;
+        }
+        let skew = match node {
+            Node::Scheduler(n) => &mut self.schedulers[n].skew,
+            Node::Executor(n) => &mut self.executors[n].skew,
+        };
+        *skew = skew.saturating_sub(span);
+    }
+
     /// How many schedulers and executors there are.
     pub fn size(&self) -> (usize, usize) {
         (self.schedulers.len(), self.executors.len())
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -183,7 +183,7 @@
     /// A worker crashes; another life of it comes up at once or later.
     pub fn crash_worker(&mut self, number: usize) {
         if self.workers[number].up {
-            self.witness.crashed(self.workers[number].running.keys());
+            self.witness.crashed(self.workers[number].known_there());
         }
         self.workers[number].up = false;
         self.workers[number].running.clear();
