daemon: leases are measured on a clock that counts suspended time

Cause: all processes read the steady clock, which stands still while a machine is suspended. An executor that woke took a scheduler's lease for valid and began what waited for it; the scheduler had placed the task elsewhere.

Change: `BootClock` reads CLOCK_BOOTTIME; schedulers, executors and the processes of /v1 use it.

Left: timers and time-outs of calls run on the steady clock and only fire later. The worker's clock is reckoned too far ahead until the next hold; what is kept alive by that is cut to a second by the worker.

--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use stackcourse_lib::dispatch::executor::Action;
 use stackcourse_lib::dispatch::executor::Executor;
@@ -24,6 +23,7 @@
 use stackcourse_lib::protos::dispatch::frame::Body;
 use tokio::sync::watch;
 
+use crate::boot_clock::BootClock;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::Listener;
@@ -66,7 +66,7 @@
     worker: W,
     /// What the worker says of itself, to be kept for the next life.
     kept: watch::Sender<Option<WorkerBeat>>,
-    start: Instant,
+    clock: BootClock,
     links: Links,
     lag: LoopLag,
     log: RefCell<LogSink>,
@@ -80,7 +80,7 @@
             executor: RefCell::new(Executor::new(setup)),
             worker,
             kept: watch::Sender::default(),
-            start: Instant::now(),
+            clock: BootClock::start(),
             links: Links::default(),
             lag: LoopLag::default(),
             log: RefCell::new(log),
@@ -102,7 +102,7 @@
 
     /// This process's clock.
     pub fn now(&self) -> Mono {
-        Mono(self.inner.start.elapsed().as_micros() as u64 + 1)
+        self.inner.clock.now()
     }
 
     /// Gives the executor something to do, and does what it wants done.
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
@@ -24,6 +23,7 @@
 use stackcourse_lib::protos::dispatch::frame::Body;
 use tokio::sync::oneshot;
 
+use crate::boot_clock::BootClock;
 use crate::dispatch::channel;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::LinkEnd;
@@ -47,7 +47,7 @@
 struct Inner {
     policy: LinkPolicy,
     scheduler: RefCell<Scheduler>,
-    start: Instant,
+    clock: BootClock,
     own: SocketAddr,
     links: Links,
     lag: LoopLag,
@@ -101,7 +101,7 @@
         let inner = Inner {
             policy: setup.policy.links,
             scheduler: RefCell::new(Scheduler::new(setup)),
-            start: Instant::now(),
+            clock: BootClock::start(),
             own,
             links: Links::default(),
             lag: LoopLag::default(),
@@ -137,7 +137,7 @@
 
     /// This process's clock.
     pub fn now(&self) -> Mono {
-        Mono(self.inner.start.elapsed().as_micros() as u64 + 1)
+        self.inner.clock.now()
     }
 
     /// Gives the scheduler something to do, and does what it wants done.
--- a/lib/daemon/src/lib.rs
+++ b/lib/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent_process;
 pub mod api;
 pub mod backend;
+pub mod boot_clock;
 pub mod boxes;
 pub mod config_watch;
 pub mod consul;
--- a/lib/daemon/src/ticker.rs
+++ b/lib/daemon/src/ticker.rs
@@ -1,7 +1,6 @@
 //! The clock that is handed to the state machines.
 
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -10,13 +9,15 @@
 use stackcourse_lib::clock::micros;
 use stackcourse_lib::clock::millis;
 
+use crate::boot_clock::BootClock;
+
 /// Time between ticks of a state machine.
 pub const TICK: Duration = Duration::from_millis(10);
 
-/// A process's clock: the wall clock is read once and carried on by the monotonic one.
+/// A process's clock: the wall clock is read once and carried on by one that never steps back.
 #[derive(Clone, Copy, Debug)]
 pub struct Ticker {
-    start: Instant,
+    clock: BootClock,
     wall_ms: u64,
 }
 
@@ -25,14 +26,14 @@
     pub fn start() -> Ticker {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
         Ticker {
-            start: Instant::now(),
+            clock: BootClock::start(),
             wall_ms: wall.map(millis).unwrap_or(0),
         }
     }
 
     /// The present. The monotonic reading is never zero.
     pub fn now(&self) -> Now {
-        let gone = self.start.elapsed();
+        let gone = self.clock.elapsed();
         Now {
             mono: Mono(micros(gone) + 1),
             wall_ms: self.wall_ms + millis(gone),
--- a/lib/daemon/tests/runner/main.rs
+++ b/lib/daemon/tests/runner/main.rs
@@ -1,5 +1,6 @@
 //! The daemons' integration tests.
 
+mod test_boot_clock;
 mod test_channel;
 mod test_follow;
 mod test_log_sink;
