executor: claims are confirmed while the worker is gone

Cause: each refused hold set anew the time from which runs might be at the worker that are not known; the worker is asked every 40 to 200 ms while it is gone, so the 0.6 s after which nothing can run there were never over. A crash is away for three seconds: no job could be claimed meanwhile.

Change: the time is set once, when the worker stops being clean.

Measured: the test fails before.

--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -141,8 +141,10 @@
 
     /// Nothing runs any more: the worker is gone, or has not been asked to keep anything alive.
     fn forget_runs(&mut self, now: Mono) {
-        if let Some(worker) = &mut self.worker {
-            worker.clean = false;
+        // Once: nothing is started while it is not clean, so a worker that goes on refusing does not put this off.
+        if let Some(worker) = &mut self.worker
+            && std::mem::replace(&mut worker.clean, false)
+        {
             self.unclean_since = now;
         }
         let names: Vec<TaskName> = self.runs.keys().copied().collect();
--- a/lib/tests/runner/test_executor/crashes.rs
+++ b/lib/tests/runner/test_executor/crashes.rs
@@ -246,3 +246,22 @@
     let jobs: Vec<u64> = told.map(|t| t.task.expect("a task").job).collect();
     assert_eq!(jobs, [1599, 1599], "the oldest are forgotten");
 }
+
+/// A worker that is gone is asked on, and refuses on. While each refusal put off the time from which nothing can run there, no
+/// job could be claimed until the worker was back.
+#[test]
+fn test_executor_confirms_claims_while_its_worker_is_gone() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.confirm(1);
+    crash(&mut bench);
+    bench.link(TWO, "two");
+    bench.claim(TWO, 1);
+    for _ in 0..12 {
+        bench.pass(100);
+        bench.orders(TWO, proto::Orders::default());
+        bench.held(HoldReply::Unreachable);
+    }
+    let claimed = bench.updates(TWO).into_iter().flat_map(|u| u.claimed);
+    assert_eq!(claimed.collect::<Vec<u64>>(), [1]);
+}
