executor: nothing is started under a room that was told long ago

Cause: a worker's room may shrink while it runs.

Ruled out: late heartbeats (numbered; a test), room that is being stopped (counted before), rooms that come back (used with the next order; a test).

Change: an executor is not ready while its worker has not said for 2.2 of its heartbeats what it has. The model's workers shrink and grow, and hold starts against the room that all can know of.

One test of trials now beats as workers do; its bounds are the same.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -62,6 +62,8 @@
     /// How long the worker is asked to keep runs alive after a renewal. With the lease it must not
     /// last longer than schedulers wait before they hold what was placed here to be over.
     pub worker_hold: Duration,
+    /// How often the worker says what it is and has.
+    pub heartbeat: Duration,
     /// The figures that decide.
     pub policy: Policy,
 }
@@ -122,6 +124,8 @@
 #[derive(Debug, Default)]
 struct Worker {
     beat: WorkerBeat,
+    /// When it last said what it is and has.
+    heard: Mono,
     /// Whether its lists have been read in this life, and nothing of an earlier executor runs.
     clean: bool,
     /// Whether it answered the last hold.
@@ -259,6 +263,7 @@
             let drains = beat.draining && !worker.beat.draining;
             let same = beat.is_like(&worker.beat);
             worker.beat = beat;
+            worker.heard = now;
             if !same {
                 self.profile_changed();
             }
@@ -307,9 +312,13 @@
         self.leaving && self.runs.is_empty() && told
     }
 
-    /// Whether tasks may start.
-    fn ready(&self) -> bool {
-        let ready = |w: &Worker| w.clean && w.answers && !w.beat.draining;
+    /// Whether tasks may start. Where the worker's word is old its room may have shrunk: an executor that woke
+    /// after 3.5 s began a task under the room of before.
+    fn ready(&self, now: Mono) -> bool {
+        let beats = self.setup.policy.orders.room_beats;
+        let age = self.setup.heartbeat.mul_f64(beats);
+        let known = |w: &Worker| now.since(w.heard) < age;
+        let ready = |w: &Worker| w.clean && w.answers && !w.beat.draining && known(w);
         !self.leaving && self.worker.as_ref().is_some_and(ready)
     }
 
@@ -337,6 +346,7 @@
         self.unclean_since = now;
         self.worker = Some(Worker {
             beat,
+            heard: now,
             answers: true,
             ..Worker::default()
         });
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -127,7 +127,7 @@
 
     /// Starts what fits of the tasks that wait.
     pub(super) fn start_waiting(&mut self, now: Mono) {
-        if !self.ready() {
+        if !self.ready(now) {
             return;
         }
         let mut at = 0;
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -213,7 +213,7 @@
         if waiting.crashes.is_final(&self.setup.policy.crashes) {
             return self.tell_unstarted(now, &waiting, EndKind::Crashed);
         }
-        if !self.ready() || !fresh {
+        if !self.ready(now) || !fresh {
             return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
         }
         if !waiting.demand.fits(Demand::default(), self.capacity()) {
@@ -348,7 +348,7 @@
     }
 
     fn send_update(&mut self, now: Mono, name: &str) {
-        let worker = Some(self.worker_report());
+        let worker = Some(self.worker_report(now));
         let told = self.sessions[name].profile_told;
         let untold = told != self.profile_edition;
         let profile = untold.then(|| self.profile_for(name));
@@ -424,7 +424,7 @@
         }
     }
 
-    fn worker_report(&self) -> proto::WorkerReport {
+    fn worker_report(&self, now: Mono) -> proto::WorkerReport {
         let Some(worker) = &self.worker else {
             return proto::WorkerReport::default();
         };
@@ -434,7 +434,7 @@
             free = free.less(waiting.demand);
         }
         proto::WorkerReport {
-            ready: self.ready(),
+            ready: self.ready(now),
             free_cpu_milli: free.cpu_milli,
             free_memory_mb: free.memory_mb,
             free_gpu: free.gpu,
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -132,6 +132,8 @@
         silent_after: ms = 200, 1..=60_000;
         /// A worker that can't be reached at all for this long is gone.
         gone_after: ms = 150, 1..=60_000;
+        /// Nothing is started at a worker that has not said for so many of its heartbeats what room it has. Two and a fifth; from the users' pages, room that has gone counts for two and one more.
+        room_beats: ratio = 2.2, 1.0..=1000.0;
         /// A worker that has failed to answer once is asked again after this long.
         ask_soon: ms = 10, 1..=60_000;
         /// A worker that is silent is asked again after this long.
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -61,6 +61,7 @@
             fence: 5,
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
+            heartbeat: Duration::from_millis(1500),
             policy: Policy::default(),
         };
         Bench {
--- a/lib/tests/runner/test_executor/worker.rs
+++ b/lib/tests/runner/test_executor/worker.rs
@@ -124,6 +124,7 @@
         if step % 10 != 0 {
             continue;
         }
+        bench.beat("w1", false, step + 2);
         bench.start(ONE, step + 1, &[0]);
         let begun = run(step + 1, 0, 1);
         if bench.started().last() == Some(&begun) {
@@ -156,3 +157,80 @@
     assert_eq!(bench.ends(ONE), [(1, EndKind::Crashed)]);
     assert_matches!(bench.actions.last(), Some(_));
 }
+
+impl Bench {
+    /// The worker says that it has room for so many tasks.
+    fn resize(&mut self, room: u32, sequence: u64) {
+        let beat = WorkerBeat {
+            life: "w1".to_owned(),
+            service: "s".to_owned(),
+            draining: false,
+            capacity: Demand {
+                cpu_milli: room * 1000,
+                memory_mb: 1000,
+                gpu: 0,
+            },
+            labels: Vec::new(),
+            sequence,
+        };
+        self.executor.beat(self.now, beat);
+        self.take();
+    }
+}
+
+#[test]
+fn test_executor_starts_nothing_that_a_smaller_room_does_not_hold() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.resize(1, 2);
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started(), [run(1, 0, 1)], "what runs takes it all");
+    assert_eq!(bench.ends(ONE), [(1, EndKind::NoRoom)]);
+    bench.resize(2, 3);
+    bench.start(ONE, 3, &[0]);
+    assert_eq!(
+        bench.started().len(),
+        2,
+        "room that is back is used at once"
+    );
+    let last = bench.updates(ONE).pop().and_then(|u| u.worker);
+    assert_eq!(last.map(|w| w.free_cpu_milli), Some(0));
+}
+
+#[test]
+fn test_executor_leaves_what_runs_where_the_room_has_shrunk_below_it() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0, 1]);
+    bench.resize(1, 2);
+    assert_eq!(bench.stopped(), []);
+    bench.pass(20);
+    let last = bench.updates(ONE).pop().and_then(|u| u.worker);
+    assert_eq!(last.map(|w| w.free_cpu_milli), Some(-1000));
+    bench.lists(
+        &[run(1, 1, 1)],
+        vec![finished(1, run(1, 0, 1), WorkerEnd::Done)],
+    );
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 2, "one still takes all that is left");
+}
+
+#[test]
+fn test_executor_ignores_a_larger_room_that_is_told_late() {
+    let mut bench = Bench::ready();
+    bench.resize(1, 3);
+    bench.resize(2, 2);
+    bench.start(ONE, 1, &[0, 1]);
+    assert_eq!(bench.started(), [run(1, 0, 1)]);
+}
+
+#[test]
+fn test_executor_starts_nothing_under_a_room_that_it_heard_of_long_ago() {
+    let mut bench = Bench::ready();
+    bench.pass(3400);
+    bench.link(TWO, "two");
+    bench.start(TWO, 1, &[0]);
+    assert_eq!(bench.started(), [], "the room may have shrunk meanwhile");
+    bench.beat("w1", false, 2);
+    bench.start(TWO, 2, &[0]);
+    assert_eq!(bench.started(), [run(2, 0, 1)]);
+}
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -38,6 +38,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also hand in jobs with a task that takes workers down"),
         )
+        .arg(
+            Arg::new("resizing")
+                .long("resizing")
+                .action(ArgAction::SetTrue)
+                .help("Also let workers' rooms shrink and grow while they run"),
+        )
         .arg(
             Arg::new("suspend")
                 .long("suspend")
@@ -70,6 +76,7 @@
             losses,
             cell: value("cell") as u32,
             crashing: matches.get_flag("crashing"),
+            resizing: matches.get_flag("resizing"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -7,6 +7,7 @@
 
 use crate::dispatch::callers::Callers;
 use crate::dispatch::network::Node;
+use crate::dispatch::world::CAPACITY;
 use crate::dispatch::world::World;
 
 /// What came of a run.
@@ -36,6 +37,8 @@
 const LOSSES: f64 = 0.004;
 /// How likely a job has a task that takes workers down.
 const CRASHING: f64 = 0.02;
+/// How likely a worker's room changes at each step.
+const RESIZES: f64 = 0.05;
 /// How likely a suspension is at each step.
 const SUSPENSIONS: f64 = 0.02;
 /// Jobs handed in while it is calm again.
@@ -66,6 +69,8 @@
     pub cell: u32,
     /// Whether some jobs have a task that takes down each worker which starts it.
     pub crashing: bool,
+    /// Whether workers' rooms shrink and grow while they run.
+    pub resizing: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -102,6 +107,9 @@
         if plan.crashing && world.rng.random_bool(CRASHING) {
             make_crashing(&mut world, number);
         }
+        if plan.resizing && world.rng.random_bool(RESIZES) {
+            resize(&mut world);
+        }
         if plan.suspensions != Suspensions::None && world.rng.random_bool(SUSPENSIONS) {
             suspend(&mut world, plan.suspensions == Suspensions::Counted);
         }
@@ -149,6 +157,16 @@
     }
 }
 
+/// Gives a worker a quarter of its room up to all of it.
+fn resize(world: &mut World) {
+    let (_, executors) = world.size();
+    let n = world.rng.random_range(0..executors);
+    let capacity = world.rng.random_range(CAPACITY / 4..=CAPACITY);
+    let now = world.now;
+    world.workers[n].resize(now, capacity);
+    world.print(Node::Executor(n), &format!("room for {capacity}"));
+}
+
 /// Suspends a process for up to some seconds; one in four times another one together with it.
 fn suspend(world: &mut World, counted: bool) {
     let span = world.rng.random_range(100_000..5_000_000);
@@ -245,6 +263,7 @@
         world.raise_worker(number);
         world.workers[number].pace = 1.0;
         world.workers[number].sick = false;
+        world.workers[number].resize(world.now, CAPACITY);
     }
     world.run(Duration::from_secs(14));
 }
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -17,6 +17,8 @@
 
 /// Runs are kept for at most this long without a renewal, in microseconds of the worker's clock.
 pub const MOST_HELD_US: u64 = 1_000_000;
+/// A worker's room is known to have shrunk after this long: three seconds and a heartbeat.
+const SHRINK_KNOWN_US: u64 = 3_500_000;
 /// A stop takes this long, in microseconds.
 pub const STOP_US: u64 = 30_000;
 
@@ -42,6 +44,8 @@
     pub life: String,
     /// What it has, in thousandths of a core.
     pub capacity: u32,
+    /// When it last had more, and how much.
+    shrunk: Option<(u64, u32)>,
     /// Whether it is up.
     pub up: bool,
     /// Whether it says that it leaves.
@@ -67,6 +71,7 @@
         WorkerModel {
             life,
             capacity,
+            shrunk: None,
             up: true,
             draining: false,
             pace: 1.0,
@@ -81,6 +86,22 @@
         }
     }
 
+    /// Gives it more or less room. What runs stays.
+    pub fn resize(&mut self, now: u64, capacity: u32) {
+        if capacity < self.capacity {
+            self.shrunk = Some((now, self.bound(now)));
+        }
+        self.capacity = capacity;
+    }
+
+    /// What may be taken of it at most: room that has gone counts until everybody can know.
+    pub fn bound(&self, now: u64) -> u32 {
+        match self.shrunk {
+            Some((at, before)) if now < at + SHRINK_KNOWN_US => before.max(self.capacity),
+            _ => self.capacity,
+        }
+    }
+
     /// Whether a call that names a life, or none, is for this one.
     fn is_meant(&self, life: &str) -> bool {
         life.is_empty() || life == self.life
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -76,7 +76,7 @@
         let cpu_of =
             |t: &stackcourse_lib::dispatch::model::TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
         let taken = self.workers[n].running.keys().map(cpu_of).sum();
-        let capacity = self.workers[n].capacity;
+        let capacity = self.workers[n].bound(self.now);
         self.witness.started(run.task, elsewhere, taken, capacity);
     }
 
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -23,6 +23,7 @@
             fence: life * 1000,
             lease: self.policy.leases.lease,
             worker_hold: self.policy.leases.worker_hold,
+            heartbeat: Duration::from_micros(BEAT_US),
             policy: self.policy,
         };
         ExecutorNode {
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -89,6 +89,21 @@
     }
 }
 
+/// Workers whose rooms shrink and grow. In seed 48 an executor that was paused for 3.5 s took the old room for the present one.
+#[test]
+fn test_dispatch_run_keeps_every_promise_when_rooms_change() {
+    for seed in (1..9).chain([48]) {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            resizing: true,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
 fn run_suspended(seed: u64, suspensions: Suspensions) -> RunReport {
     run::run_plan(RunPlan {
         seed,
