tests: real processes and tasks that take workers down

Cause: the mend was shown on the virtual clock only; the stand-ins of workers crashed by themselves and never under a task.

Change: a job whose text says so takes down each worker that starts it. A test hands one in at real processes: answered 200 `failed` after two or three crashes, remembered, logged (SC412, SC437), others served after it. The soak hands in such jobs, one in 50, drawn apart from its faults. The stand-in's witness counts workers that crash, as the model's does.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -28,6 +28,7 @@
         tasks,
         work_ms,
         cpu: 1000,
+        crashing: false,
     }
 }
 
@@ -191,6 +192,38 @@
     assert!(workers.models[1].begun >= 15);
 }
 
+/// A worker goes 10 ms after it has started a task of the job, and is back in another life.
+#[actix_rt::test]
+async fn test_platform_job_that_takes_workers_down_is_given_up() {
+    let fleet = Fleet::start(binary(), 2, 4).await;
+    let entry = fleet.entries[0].callers();
+    let crashing = CallerJob {
+        crashing: true,
+        ..job(1, 1, 600)
+    };
+    let got = callers::hand_in(&fleet.workers, entry, crashing).await;
+    assert_eq!((got.status, got.state.as_str()), (200, "failed"));
+    let crashes = fleet.workers.lock().unwrap().crashes;
+    assert!((2..=3).contains(&crashes), "{crashes} workers were lost");
+    assert_eq!(fleet.violation(), None);
+
+    let again = callers::hand_in(&fleet.workers, entry, crashing).await;
+    assert_eq!(again.state, "failed", "its end is remembered");
+    assert_eq!(fleet.workers.lock().unwrap().crashes, crashes);
+    eventually("the crashes and the task are logged", async || {
+        let logs = fleet.agents.iter().map(Machine::log_text);
+        let told = logs.filter(|l| l.contains("SC437")).count();
+        told == crashes as usize && fleet.entries[0].log_text().contains("SC412")
+    })
+    .await;
+
+    let other = fleet.entries[1].callers();
+    let got = callers::hand_in(&fleet.workers, other, job(2, 4, 40)).await;
+    assert_eq!(got.state, "completed");
+    let page = page_of(&fleet.entries[0]).await;
+    assert!(page.contains(r#"stackcourse_causes_total{cause="crashes"} 1"#));
+}
+
 #[actix_rt::test]
 async fn test_platform_configuration_is_followed_and_survives_the_store() {
     let fleet = Fleet::start(binary(), 2, 1).await;
--- a/lib/testutils/src/platform/callers.rs
+++ b/lib/testutils/src/platform/callers.rs
@@ -9,6 +9,7 @@
 use stackcourse_lib::dispatch::model::JobOutcome;
 
 use crate::dispatch::witness::SeenJob;
+use crate::platform::workers::CRASH;
 use crate::platform::workers::SharedWorkers;
 
 /// The host that callers name, and the start of the path of its queue.
@@ -27,13 +28,20 @@
     pub work_ms: u32,
     /// What each takes, in thousandths of a core.
     pub cpu: u32,
+    /// Whether each takes down the worker that starts it.
+    pub crashing: bool,
 }
 
 impl CallerJob {
     /// The body of the request.
     pub fn body(&self) -> Value {
+        let spec = if self.crashing {
+            CRASH.to_owned()
+        } else {
+            self.work_ms.to_string()
+        };
         json!({
-            "spec": self.work_ms.to_string(),
+            "spec": spec,
             "bestEffort": true,
             "steps": [{
                 "count": self.tasks,
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -95,6 +95,8 @@
 
 /// How often a new configuration is written, as a share of the callers that come.
 const CHANGES: f64 = 0.02;
+/// The share of jobs that take workers down.
+const CRASHING: f64 = 0.02;
 /// A configuration of this many queues takes about 250 KB.
 const MANY_QUEUES: usize = 1500;
 /// An accepted configuration is in force everywhere within this time once nothing is harmed any more.
@@ -105,6 +107,8 @@
     rng: ChaCha8Rng,
     /// Draws the changes of the configuration, so that the faults of a seed stay as they are.
     changes: ChaCha8Rng,
+    /// Draws the jobs that take workers down, likewise.
+    crashes: ChaCha8Rng,
     fleet: Fleet,
     completed: Rc<Cell<u64>>,
     begun: Instant,
@@ -120,6 +124,7 @@
     let mut soak = Soak {
         rng: ChaCha8Rng::seed_from_u64(plan.seed),
         changes: ChaCha8Rng::seed_from_u64(!plan.seed),
+        crashes: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32)),
         fleet: Fleet::start(binary, plan.entries, plan.agents).await,
         completed: Rc::new(Cell::new(0)),
         begun: Instant::now(),
@@ -151,7 +156,8 @@
     async fn trouble(&mut self, span: Duration) {
         let end = self.begun + span;
         while Instant::now() < end && self.fleet.violation().is_none() {
-            self.call();
+            let crashing = self.crashes.random_bool(CRASHING);
+            self.call(crashing);
             self.heal_due(Instant::now());
             if self.rng.random_bool(0.06) {
                 self.faults += 1;
@@ -188,15 +194,26 @@
     /// Callers come while nothing is harmed.
     async fn calm(&mut self) {
         for _ in 0..CALM_JOBS {
-            self.call();
+            self.call(false);
             actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
         actix_rt::time::sleep(Duration::from_secs(3)).await;
     }
 
-    fn call(&mut self) {
+    /// A caller comes; with a job that takes workers down, if that is asked.
+    fn call(&mut self, crashing: bool) {
         self.jobs += 1;
-        spawn_caller(&mut self.rng, &self.fleet, &self.completed, self.jobs);
+        if crashing {
+            self.note(format!("job {:016x} takes workers down", self.jobs));
+        }
+        let number = JobNumber(self.jobs);
+        spawn_caller(
+            &mut self.rng,
+            &self.fleet,
+            &self.completed,
+            number,
+            crashing,
+        );
     }
 
     /// The operator writes a configuration, a large one in half of the cases.
@@ -234,9 +251,16 @@
     }
 }
 
-fn spawn_caller(rng: &mut ChaCha8Rng, fleet: &Fleet, completed: &Rc<Cell<u64>>, number: u64) {
+fn spawn_caller(
+    rng: &mut ChaCha8Rng,
+    fleet: &Fleet,
+    completed: &Rc<Cell<u64>>,
+    number: JobNumber,
+    crashing: bool,
+) {
     let job = CallerJob {
-        number: JobNumber(number),
+        number,
+        crashing,
         tasks: rng.random_range(1..6),
         work_ms: [20, 80, 600][rng.random_range(0..3)],
         cpu: rng.random_range(500..1500),
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -29,6 +29,10 @@
 
 /// What each worker has, in thousandths of a core.
 pub const CAPACITY: u32 = 8_000;
+/// The text of a job whose tasks take down each worker that starts one.
+pub const CRASH: &str = "crash";
+/// They do so after this long, in microseconds.
+const CRASH_US: u64 = 10_000;
 /// How often a worker beats.
 const BEAT: Duration = Duration::from_millis(200);
 /// How often a hold that waits looks for an end.
@@ -42,6 +46,10 @@
     pub witness: Witness,
     /// The service they work for.
     pub service: String,
+    /// How many lives were taken down by a task.
+    pub crashes: u64,
+    /// Runs that will take their worker down: when, at which worker, and which.
+    crashing: Vec<(u64, usize, RunName)>,
     start: Instant,
     lives: u64,
 }
@@ -56,6 +64,8 @@
             models: Vec::new(),
             witness: Witness::default(),
             service: service.to_owned(),
+            crashes: 0,
+            crashing: Vec::new(),
             start: Instant::now(),
             lives: 0,
         };
@@ -79,12 +89,33 @@
     /// A worker crashes and comes up in a new life.
     pub fn crash(&mut self, number: usize) {
         self.advance();
+        self.begin_anew(number);
+    }
+
+    fn begin_anew(&mut self, number: usize) {
+        self.witness.crashed(self.models[number].known_there());
         self.models[number] = self.new_life();
     }
 
+    /// Takes down the workers whose time has come.
+    fn crash_due(&mut self, now: u64) {
+        let (due, later) = self.crashing.drain(..).partition(|c| c.0 <= now);
+        self.crashing = later;
+        let due: Vec<(u64, usize, RunName)> = due;
+        for (_, number, name) in due {
+            let there = self.models[number].running.get(&name.task);
+            if there.is_some_and(|r| r.run == name.run) {
+                self.crashes += 1;
+                self.witness.crashed_by(name.task);
+                self.begin_anew(number);
+            }
+        }
+    }
+
     /// Ends what is over by now.
     pub fn advance(&mut self) -> u64 {
         let now = self.now();
+        self.crash_due(now);
         for model in &mut self.models {
             for (run, end) in model.advance(now) {
                 if let Some(job) = self.witness.jobs.get_mut(&run.task.job) {
@@ -109,6 +140,9 @@
         if begun {
             self.note_start(number, call.run.task);
         }
+        if begun && &*call.spec == CRASH {
+            self.crashing.push((now + CRASH_US, number, call.run));
+        }
         reply
     }
 
