--- a/lib/daemon/src/boot_clock.rs
+++ b/lib/daemon/src/boot_clock.rs
@@ -2,7 +2,7 @@
 //!
 //! It counts the time in which the machine was suspended. The system's ordinary steady clock does not: an executor that
 //! woke from a suspension took leases for valid that had been given up elsewhere, and a task ran twice (7 of 40 seeds
-//! of the random run with suspended machines, none of 200 on a clock that counts).
+//! of the random run with suspended machines; none of 60 on a clock that counts).
 
 use std::time::Duration;
 
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -59,7 +59,7 @@
     }
 
     /// Gives a job up if workers crash under a task of it; says whether it did. Without a bound on such
-    /// runs one task was started at nine workers in 1.4 s, and all of them were down for three seconds.
+    /// runs one task was started at eight workers in 1.4 s, and each was down for three seconds.
     fn give_up_crashing(&mut self, name: TaskName) -> bool {
         let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task_mut(name)) else {
             return false;
--- a/lib/testutils/tests/runner/test_crashing_tasks.rs
+++ b/lib/testutils/tests/runner/test_crashing_tasks.rs
@@ -1,7 +1,7 @@
 //! Tasks that take down each backend server which starts them.
 //!
 //! Symptom: at a fleet of eleven backend servers nearly all were down for three seconds, twice within six; one of 24
-//! short jobs was in time. One task had been started at nine servers in 1.4 s, each of them gone 10 ms later.
+//! short jobs was in time. One task had been started at eight servers in 1.4 s, each of them gone 10 ms later.
 //!
 //! Sequence: a server is gone; its agent is refused connections for 150 ms and reports all that ran there as lost; the
 //! scheduler places each of these tasks again within a millisecond, at the emptiest server that is left; the one that
@@ -11,7 +11,7 @@
 //! placed again without a bound, and nothing of it was kept where another scheduler would find it.
 //!
 //! What settled it: `6a86….0.0.0 at side-pl-hall-b-4: lost` (SC410), seven times at seven agents, all at one scheduler,
-//! 165 to 185 ms apart, each followed by the next placing (SC406) within a millisecond; and SC437 of the agents in the
+//! 164 to 182 ms apart, each followed by the next placing (SC406) within a millisecond; and SC437 of the agents in the
 //! first of these tests, which names the task as the youngest run at each of its servers, 11 to 12 ms old.
 
 use std::time::Duration;
