executor: another life of the worker is believed once the worker answers under it

Cause: `Executor::beat` began a new life for any other id. A heartbeat of w1 that was held up by a cut and arrived after w2 had registered ended the run of w2 as crashed, and its task was blamed. A heartbeat with a state that has no meaning counted as ready, one without service took the place of what the worker had said, and after one with the greatest number all true ones were old.

Ruled out: remembering the lives that are over and passing over their heartbeats for good. A worker whose predecessor still answers at its address for a moment would never be taken.

Change: the agent asks the worker, under the life that the heartbeat names, and goes on as before unless it answers. A life held to be over is asked about as well. Numbers: two that rise, half a heartbeat apart, below one after which nothing came for a heartbeat are the true ones. A worker that leaves does not come back in the same life; a service that tasks were started for stays. Heartbeats with a field missing or of another type are refused, logged once by field (SC426) and counted.

In the tests that begin a new life the stand-in worker now answers under it, as workers do.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod health;
 mod lists;
+mod lives;
 mod runs;
 mod sessions;
 
@@ -20,6 +21,7 @@
 use crate::dispatch::executor::claims::Claim;
 use crate::dispatch::executor::crashes::CrashMemory;
 use crate::dispatch::executor::health::Health;
+use crate::dispatch::executor::lives::Lives;
 use crate::dispatch::executor::runs::Run;
 use crate::dispatch::executor::runs::Waiting;
 use crate::dispatch::executor::sessions::Session;
@@ -117,6 +119,8 @@
     pub lapsed: u64,
     /// Runs found at the worker that nobody here had started.
     pub strangers: u64,
+    /// Heartbeats that could not be read, or were not of the worker's life.
+    pub beats_rejected: u64,
 }
 
 /// The worker's clock may be this much slow.
@@ -136,12 +140,17 @@
     silent_since: Option<Mono>,
     clock: Option<(u64, Mono)>,
     seen: u64,
+    /// Whether something was started in this life, so that its service is one that is known.
+    used: bool,
+    /// The last heartbeat with a lower number than the newest, and when it came.
+    lower: Option<(u64, Mono)>,
 }
 
 /// The executor.
 pub struct Executor {
     setup: ExecutorSetup,
     worker: Option<Worker>,
+    lives: Lives,
     runs: BTreeMap<TaskName, Run>,
     used: Demand,
     queue: VecDeque<Waiting>,
@@ -189,6 +198,7 @@
         Executor {
             fence: setup.fence,
             worker: None,
+            lives: Lives::default(),
             runs: BTreeMap::new(),
             used: Demand::default(),
             queue: VecDeque::new(),
@@ -253,44 +263,6 @@
         }
     }
 
-    /// Takes note of what the worker says of itself.
-    pub fn beat(&mut self, now: Mono, beat: WorkerBeat) {
-        let known = self
-            .worker
-            .as_ref()
-            .is_some_and(|w| w.beat.life == beat.life);
-        if !known {
-            self.begin_life(now, beat);
-        } else if let Some(worker) = &mut self.worker {
-            if beat.sequence < worker.beat.sequence {
-                return;
-            }
-            let drains = beat.draining && !worker.beat.draining;
-            let same = beat.is_like(&worker.beat);
-            worker.beat = beat;
-            worker.heard = now;
-            if !same {
-                self.profile_changed();
-            }
-            if !same || drains {
-                self.keep_worker();
-            }
-            if drains {
-                self.log(Kind::WorkerDraining, self.life());
-                self.return_queue(now);
-            }
-        }
-        self.work(now);
-    }
-
-    /// Takes note that a life of the worker is over.
-    pub fn worker_left(&mut self, now: Mono, life: &str) {
-        if self.life() == life {
-            self.end_life(now, "it has left");
-            self.work(now);
-        }
-    }
-
     /// Passing time.
     pub fn tick(&mut self, now: Mono) {
         self.expire_leases(now);
@@ -338,56 +310,6 @@
         capacity.unwrap_or_default()
     }
 
-    fn begin_life(&mut self, now: Mono, beat: WorkerBeat) {
-        if self.worker.is_some() {
-            self.judge_crash(now);
-            self.end_life(now, "another life has registered");
-        }
-        let detail = format!("{} of {}", beat.life, beat.service);
-        self.log(Kind::WorkerUp, detail);
-        if beat.draining {
-            self.log(Kind::WorkerDraining, beat.life.clone());
-        }
-        self.health = Health::new(self.setup.policy.health);
-        self.unclean_since = now;
-        self.worker = Some(Worker {
-            beat,
-            heard: now,
-            answers: true,
-            ..Worker::default()
-        });
-        self.profile_changed();
-        self.keep_worker();
-    }
-
-    /// Takes note of what the worker said to an earlier life of this process. It is asked at once
-    /// whether it is still in that life, so that it need not be waited for until it says so again.
-    pub fn recall(&mut self, now: Mono, beat: WorkerBeat) {
-        if self.worker.is_none() {
-            self.recalled = Some(beat);
-            self.work(now);
-        }
-    }
-
-    fn keep_worker(&mut self) {
-        let beat = self.worker.as_ref().map(|w| w.beat.clone());
-        self.actions.push(Action::Keep(beat));
-    }
-
-    /// Everything that ran in this life of the worker is over.
-    fn end_life(&mut self, now: Mono, cause: &str) {
-        self.log(Kind::WorkerDown, self.life());
-        self.log_lost(now, cause);
-        self.worker = None;
-        self.profile_changed();
-        self.keep_worker();
-        let names: Vec<TaskName> = self.runs.keys().copied().collect();
-        for name in names {
-            self.end_run_lost(now, name);
-        }
-        self.return_queue(now);
-    }
-
     /// The worker's clock now, by its last answer; 0 if not known.
     fn worker_clock(&self, now: Mono) -> u64 {
         let clock = self.worker.as_ref().and_then(|w| w.clock);
@@ -414,12 +336,15 @@
     }
 
     fn hold(&mut self, now: Mono) {
-        if self.holding || now < self.hold_at {
+        if self.holding || (now < self.hold_at && !self.lives.is_unasked()) {
             return;
         }
         let Some(worker) = &self.worker else {
             return self.probe();
         };
+        if let Some(life) = self.lives.asked() {
+            return self.list_only(life);
+        }
         let (life, seen) = (worker.beat.life.clone(), worker.seen);
         let (deadline_ms, wait) = if worker.clean && worker.answers {
             (self.deadline(now, self.setup.worker_hold), self.hold_wait())
@@ -454,6 +379,11 @@
         }
         let life = self.recalled.as_ref().map(|beat| beat.life.clone());
         let life = life.unwrap_or_default();
+        self.list_only(life);
+    }
+
+    /// Reads the lists under a life that the worker may not be in.
+    fn list_only(&mut self, life: String) {
         self.probing = Some(life.clone());
         self.send_hold(HoldCall {
             life,
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -21,10 +21,16 @@
 
 impl Executor {
     /// The reply to a hold.
-    pub fn held(&mut self, now: Mono, reply: HoldReply) {
+    pub fn held(&mut self, now: Mono, mut reply: HoldReply) {
         self.holding = false;
         self.hold_at = now;
-        if let Some(life) = self.probing.take() {
+        let probing = self.probing.take();
+        if probing.as_ref().is_some_and(|life| self.is_candidate(life)) {
+            match self.life_answered(now, reply) {
+                Some(own) => reply = own,
+                None => return self.work(now),
+            }
+        } else if let Some(life) = probing {
             if !self.is_recalled(&life) {
                 self.probed(now, reply);
                 return self.work(now);
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -187,6 +187,9 @@
             checkpoint: waiting.checkpoint,
         };
         self.used = self.used.plus(run.demand);
+        if let Some(worker) = &mut self.worker {
+            worker.used = true;
+        }
         self.runs.insert(waiting.task, run);
         self.send_start(now, waiting.task);
     }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -98,6 +98,7 @@
     WorkerDown = 423, Warn, "a life of a worker is over";
     WorkerSilent = 424, Warn, "the worker does not answer";
     WorkerAnswers = 425, Info, "the worker answers again";
+    BadBeat = 426, Warn, "a heartbeat can't be read or is not of the worker beside; it changes nothing";
     StartUnanswered = 430, Warn, "a start got no answer; its run is stopped before anything else";
     StartRefused = 431, Info, "the worker refused a start";
     FenceRaised = 432, Warn, "the worker had seen a higher fencing token; a higher one is used";
--- /dev/null
+++ b/lib/tests/runner/test_executor/lives.rs
@@ -0,0 +1,159 @@
+//! Which life the worker is in: heartbeats that come late or from somebody else change nothing.
+
+use super::*;
+
+impl Bench {
+    /// The worker is in another life, says so, and answers under it. The hold that waits is for the earlier one.
+    pub(super) fn new_life(&mut self, life: &str) {
+        self.beat(life, false, 1);
+        self.held(HoldReply::WrongLife);
+        self.lists(&[], Vec::new());
+    }
+
+    fn beat_of(&mut self, service: &str, sequence: u64) {
+        let beat = WorkerBeat {
+            life: "w1".to_owned(),
+            service: service.to_owned(),
+            capacity: Demand {
+                cpu_milli: 2000,
+                memory_mb: 1000,
+                gpu: 0,
+            },
+            sequence,
+            ..WorkerBeat::default()
+        };
+        self.executor.beat(self.now, beat);
+        self.take();
+    }
+
+    /// 100 ms in which the worker answers as it should.
+    fn live(&mut self) {
+        self.pass(100);
+        self.lists(&[], Vec::new());
+        self.orders(ONE, proto::Orders::default());
+    }
+
+    fn last_profile(&self) -> proto::Profile {
+        let updates = self.updates(ONE).into_iter();
+        updates
+            .filter_map(|u| u.profile)
+            .last()
+            .expect("it was told")
+    }
+
+    fn is_ready(&self) -> bool {
+        let last = self.updates(ONE).pop().expect("an update");
+        last.worker.expect("it reports").ready
+    }
+}
+
+/// A heartbeat of w1 that was held up came after w2 had registered and begun a run: the run was ended as crashed.
+#[test]
+fn test_executor_late_heartbeat_of_an_earlier_life_ends_nothing() {
+    let mut bench = Bench::ready();
+    bench.new_life("w2");
+    bench.start(ONE, 1, &[0]);
+    bench
+        .executor
+        .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
+    bench.beat("w1", false, 9);
+    bench.lists(&[run(1, 0, 1)], Vec::new());
+    assert_matches!(bench.actions.iter().rev().find_map(asked), Some(life) if life == "w1");
+    bench.held(HoldReply::WrongLife);
+    bench.pass(50);
+    assert_eq!(bench.ends(ONE), []);
+    assert_eq!(bench.executor.counts().beats_rejected, 1);
+    assert_eq!(bench.last_profile().worker, "w2");
+}
+
+fn asked(action: &Action) -> Option<String> {
+    match action {
+        Action::Hold(call) => Some(call.life.clone()),
+        _ => None,
+    }
+}
+
+/// The worker's answers may be lost; a life that nobody answers under is not believed.
+#[test]
+fn test_executor_asks_some_times_about_another_life() {
+    let mut bench = Bench::ready();
+    bench.beat("w2", false, 1);
+    bench.lists(&[], Vec::new());
+    for _ in 0..2 {
+        bench.held(HoldReply::NoAnswer);
+        bench.pass(25);
+    }
+    bench.lists(&[], Vec::new());
+    bench.pass(25);
+    assert_eq!(bench.last_profile().worker, "w2", "the third answer came");
+    bench.beat("w3", false, 1);
+    bench.lists(&[], Vec::new());
+    for _ in 0..3 {
+        bench.held(HoldReply::NoAnswer);
+        bench.pass(25);
+    }
+    assert_matches!(bench.actions.iter().rev().find_map(asked), Some(life) if life == "w2");
+}
+
+#[test]
+fn test_executor_late_heartbeat_after_the_worker_has_left_is_asked_about() {
+    let mut bench = Bench::ready();
+    bench.executor.worker_left(bench.now, "w1");
+    bench.take();
+    bench.beat("w1", false, 7);
+    bench.held(HoldReply::Unreachable);
+    bench.pass(50);
+    assert_eq!(bench.last_profile().worker, "");
+}
+
+#[test]
+fn test_executor_goes_by_the_service_that_tasks_were_started_for() {
+    let mut bench = Bench::ready();
+    bench.start(ONE, 1, &[0]);
+    bench.beat_of("other", 5);
+    bench.pass(100);
+    assert_eq!(bench.last_profile().service, "s");
+}
+
+#[test]
+fn test_executor_goes_by_the_newest_service_while_none_was_used() {
+    let mut bench = Bench::ready();
+    bench.beat_of("other", 5);
+    bench.pass(100);
+    assert_eq!(bench.last_profile().service, "other");
+    bench.beat_of("s", 6);
+    bench.pass(100);
+    assert_eq!(bench.last_profile().service, "s");
+}
+
+/// After a heartbeat with the greatest number all true ones were old, and the worker got nothing more.
+#[test]
+fn test_executor_greatest_number_does_not_make_all_others_old() {
+    let mut bench = Bench::ready();
+    bench.beat_of("s", u64::MAX);
+    for sequence in 2..6 {
+        for _ in 0..15 {
+            bench.live();
+        }
+        bench.beat("w1", false, sequence);
+    }
+    bench.live();
+    assert!(bench.is_ready());
+}
+
+/// What was held up on the way comes all at once, and is still old.
+#[test]
+fn test_executor_heartbeats_that_were_held_up_together_are_old() {
+    let mut bench = Bench::ready();
+    bench.beat("w1", true, 8);
+    for _ in 0..16 {
+        bench.live();
+    }
+    for sequence in 3..7 {
+        bench.beat("w1", false, sequence);
+    }
+    assert_eq!(bench.executor.counts().beats_rejected, 4);
+    bench.beat("w1", false, 9);
+    bench.live();
+    assert!(!bench.is_ready(), "a worker that leaves does not come back");
+}
--- a/lib/tests/runner/test_executor/worker.rs
+++ b/lib/tests/runner/test_executor/worker.rs
@@ -153,7 +153,7 @@
     bench
         .executor
         .started(bench.now, run(1, 0, 1), OrderReply::Done(1));
-    bench.beat("w2", false, 1);
+    bench.new_life("w2");
     assert_eq!(bench.ends(ONE), [(1, EndKind::Crashed)]);
     assert_matches!(bench.actions.last(), Some(_));
 }
