scheduler: an entry that leaves hands on what would outlast it

Cause: an entry that was asked to end refused each job that would take longer than it had left.

Ruled out: taking them all the same (what is not done by the end would be cut), a longer stay (the platform ends the process), not being ready earlier (with less than half of a zone ready the platform uses all).

Change: the job goes to a peer that stays, of the own zone if there is one, and is followed there as one that has come again. Its caller has the answer from here if it ends in time, else is told to come again and finds it at the peer. Also: where a job may be at work elsewhere and this process can't take it, its caller was told that it had not run; it is told to come again.

Tests: by case; the random run asks schedulers to leave, as an option.

--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -262,6 +262,8 @@
         reserve: ms = 400, 0..=600_000;
         /// How long its last answers take to be sent.
         last_answers: ms = 120, 0..=600_000;
+        /// A job that would outlast the process is handed to another scheduler, which runs it.
+        hand_on: switch = true, ();
         /// A job that is taken while leaving may take this many times as long as expected. One that takes longer is given up with an answer.
         room_to_end: ratio = 1.35, 1.0..=10.0;
     }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod evacuations;
 mod fleet;
+mod handing;
 mod jobs;
 mod leases;
 mod members;
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -72,6 +72,7 @@
             && out.cancel.is_empty()
             && out.catalog.is_empty()
             && out.executors.is_empty()
+            && out.handed.is_empty()
             && !out.catalog_wanted)
     }
 
@@ -80,6 +81,21 @@
         self.out.catalog_wanted = true;
     }
 
+    /// Whether it takes jobs, and goes on doing so.
+    pub fn stays(&self) -> bool {
+        self.settled && !self.leaving
+    }
+
+    /// Whether it is in an availability zone.
+    pub fn is_in(&self, zone: &str) -> bool {
+        self.zone == zone
+    }
+
+    /// Hands it a job with the next message, which goes out at once.
+    pub fn hand(&mut self, job: proto::HandedJob) {
+        self.out.handed.push(job);
+    }
+
     /// Tells it with the next message what falls to a queue of a crash.
     pub fn tell_blame(&mut self, queue: &str, permille: u32) {
         if self.link.is_none() {
@@ -284,6 +300,9 @@
             let outcome = JobOutcome::from_code(end.outcome);
             self.followed_end(name, JobNumber(end.job), outcome);
         }
+        for job in &update.handed {
+            self.take_handed(name, job);
+        }
         for job in update.cancel {
             self.cancel(now, JobNumber(job));
         }
@@ -389,6 +408,12 @@
         if let Some(peer) = self.peers.get_mut(peer_name) {
             peer.out.follow.push(number.0);
         }
+        self.follow_handed(peer_name, caller, request);
+    }
+
+    /// Waits for the end of a job that a peer has, and that knows of it.
+    pub(super) fn follow_handed(&mut self, peer_name: &str, caller: CallerId, request: JobRequest) {
+        let number = request.number;
         let following = Following {
             peer: peer_name.to_owned(),
             callers: vec![caller],
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -14,6 +14,15 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
+/// Why a job is not taken by a process that leaves.
+const LEAVING: &str = "leaving";
+
+/// A job that can't be taken.
+struct TurnedAway {
+    request: JobRequest,
+    cause: &'static str,
+}
+
 impl Scheduler {
     /// A job is handed in. The caller hears of its end by [`Action::Answer`].
     pub fn submit(&mut self, now: Mono, caller: CallerId, request: JobRequest) {
@@ -44,7 +53,7 @@
     }
 
     /// The outcome of a job that has ended, if it stands.
-    fn known_outcome(&self, number: JobNumber) -> Option<JobOutcome> {
+    pub(super) fn known_outcome(&self, number: JobNumber) -> Option<JobOutcome> {
         let outcome = self.ended.get(&number)?.outcome;
         let stands = !matches!(outcome, JobOutcome::Refused(_) | JobOutcome::Unknown);
         stands.then_some(outcome)
@@ -57,31 +66,84 @@
             job.callers.push(caller);
             return;
         }
+        let mut job = match self.new_job(request, claim) {
+            Ok(job) => job,
+            Err(turned) => return self.turn_away(caller, turned, claim),
+        };
+        job.callers.push(caller);
+        self.hold_job(job, claim);
+    }
+
+    /// Runs a job that a peer has a caller for.
+    pub(super) fn run_for_peer(&mut self, name: &str, request: JobRequest, claim: bool) {
+        let number = request.number;
+        match self.new_job(request, claim) {
+            Ok(mut job) => {
+                job.followers.push(name.to_owned());
+                self.hold_job(job, claim);
+            }
+            Err(turned) => {
+                self.count_cause(turned.cause);
+                let outcome = self.refusal();
+                self.tell_peer_end(name, number, outcome);
+            }
+        }
+    }
+
+    /// A job out of a request, or why none can be taken.
+    fn new_job(&self, request: JobRequest, claim: bool) -> Result<Job, TurnedAway> {
+        let turned = |request, cause| Err(TurnedAway { request, cause });
         let queue = self.catalog.index().and_then(|c| c.queue(&request.queue));
         let Some(queue) = queue else {
-            return self.refuse_unheld(caller, &request, "no-queue");
+            return turned(request, "no-queue");
         };
         let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
-        let mut job = Job::new(
-            self.now,
-            request,
-            queue,
-            learned,
-            &self.setup.policy.admission,
-        );
+        let policy = &self.setup.policy.admission;
+        let job = Job::new(self.now, request, queue, learned, policy);
         if !claim && self.is_cut_off() {
-            return self.refuse_unheld(caller, &job.request, "no-executor");
+            return turned(job.request, "no-executor");
         }
         if self.ends_too_late(&job) {
-            return self.refuse_unheld(caller, &job.request, "leaving");
+            return turned(job.request, LEAVING);
+        }
+        Ok(job)
+    }
+
+    /// A job is not taken. One that would only outlast this process is handed to a peer, if one stays. Of one that may
+    /// be at work elsewhere it can't be said that it has not run.
+    fn turn_away(&mut self, caller: CallerId, turned: TurnedAway, claim: bool) {
+        let TurnedAway { request, cause } = turned;
+        if claim {
+            self.count_cause(cause);
+            let outcome = JobOutcome::Unknown;
+            self.count_outcome(outcome);
+            let (number, call) = (request.number, &request.call);
+            self.log(
+                Kind::JobFailed,
+                format!("{number} unknown {cause} request {call}"),
+            );
+            return self.actions.push(Action::Answer(caller, outcome));
         }
+        let request = if cause == LEAVING && self.setup.policy.leaving.hand_on {
+            match self.hand_on(caller, request) {
+                Ok(()) => return,
+                Err(request) => request,
+            }
+        } else {
+            request
+        };
+        self.refuse_unheld(caller, &request, cause);
+    }
+
+    /// Holds a job that has just come.
+    fn hold_job(&mut self, mut job: Job, claim: bool) {
+        let number = job.request.number;
         self.last_taken = self.now;
-        job.callers.push(caller);
         job.renewed = self.ended.get(&number).is_some_and(|e| e.began);
         let claim = claim || job.renewed;
         let detail = format!(
             "{number} queue {} tasks {} objective in {} ms request {}",
-            queue.name,
+            job.request.queue,
             job.left,
             crate::clock::millis(self.now.until(job.objective_at)),
             job.request.call,
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -89,6 +89,7 @@
     JobClaimed = 405, Info, "a job is claimed at the executors before it runs";
     TasksPlaced = 406, Info, "tasks of a job were sent to an executor";
     JobJoined = 407, Info, "a job came again and is answered with the one that is held or has ended here";
+    JobHanded = 408, Info, "a job would outlast this process, which leaves; a peer runs it";
     TaskAgain = 410, Info, "a task is to be placed again";
     TaskMoved = 411, Info, "a run goes slowly and is stopped, to run elsewhere";
     TaskCrashes = 412, Warn, "workers crash under a task; it is given up, and its job with it";
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -310,6 +310,44 @@
     #[prost(uint32, tag = "2")]
     pub outcome: u32,
 }
+/// A job that its sender can't run to its end, to be run by the receiver, which tells the sender how it ended.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandedJob {
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    #[prost(string, tag = "2")]
+    pub queue: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub spec: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub steps: ::prost::alloc::vec::Vec<JobStep>,
+    /// How long its caller still waits, in milliseconds; 0 if not said.
+    #[prost(uint64, tag = "5")]
+    pub patience_ms: u64,
+    /// The id that the caller has given the call.
+    #[prost(string, tag = "6")]
+    pub call: ::prost::alloc::string::String,
+}
+/// See `Step` in the library.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JobStep {
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    #[prost(message, optional, tag = "2")]
+    pub demand: ::core::option::Option<Demand>,
+    #[prost(uint32, tag = "3")]
+    pub estimate_ms: u32,
+    #[prost(uint32, repeated, tag = "4")]
+    pub after: ::prost::alloc::vec::Vec<u32>,
+    #[prost(bool, tag = "5")]
+    pub saves_progress: bool,
+    #[prost(string, tag = "6")]
+    pub requirement: ::prost::alloc::string::String,
+    #[prost(string, tag = "7")]
+    pub rack: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "8")]
+    pub spread: u32,
+}
 /// Between schedulers.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerUpdate {
@@ -353,4 +391,7 @@
     /// In the first message on a link: the queues that are confined by then.
     #[prost(message, repeated, tag = "14")]
     pub confined: ::prost::alloc::vec::Vec<ConfinedQueue>,
+    /// Jobs that the receiver is to run.
+    #[prost(message, repeated, tag = "15")]
+    pub handed: ::prost::alloc::vec::Vec<HandedJob>,
 }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod crashes;
 mod evacuations;
+mod handing;
 mod slow;
 
 use std::rc::Rc;
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -52,6 +52,12 @@
                     "Also evacuate availability zones while the store turns some schedulers away",
                 ),
         )
+        .arg(
+            Arg::new("leaving")
+                .long("leaving")
+                .action(ArgAction::SetTrue)
+                .help("Also ask schedulers to leave, and start them again"),
+        )
         .arg(
             Arg::new("suspend")
                 .long("suspend")
@@ -86,6 +92,7 @@
             crashing: matches.get_flag("crashing"),
             resizing: matches.get_flag("resizing"),
             evacuating: matches.get_flag("evacuating"),
+            leaving: matches.get_flag("leaving"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -43,6 +43,8 @@
 const CRASHING: f64 = 0.02;
 /// How likely a worker's room changes at each step.
 const RESIZES: f64 = 0.05;
+/// How likely a scheduler is asked to leave at each step.
+const LEAVES: f64 = 0.03;
 /// How likely a suspension is at each step.
 const SUSPENSIONS: f64 = 0.02;
 /// Jobs handed in while it is calm again.
@@ -77,6 +79,8 @@
     pub resizing: bool,
     /// Whether zones are evacuated, and the store turns some schedulers away meanwhile.
     pub evacuating: bool,
+    /// Whether schedulers are asked to leave, and are started again.
+    pub leaving: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -122,6 +126,13 @@
         if plan.evacuating && world.rng.random_bool(EVACUATIONS) {
             evacuate(&mut world);
         }
+        if plan.leaving && world.rng.random_bool(LEAVES) {
+            let n = world.rng.random_range(0..SCHEDULERS);
+            if world.is_node_up(Node::Scheduler(n)) {
+                world.print(Node::Scheduler(n), "asked to leave");
+                world.leave(n);
+            }
+        }
         if world.rng.random_bool(faults) {
             fault(&mut world);
         }
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -87,6 +87,8 @@
     Recall(usize, u64),
     /// The store tells a scheduler of a newer catalog.
     Catalog(usize, u64, Catalog),
+    /// The time of a scheduler that leaves is up.
+    Ended(usize, u64),
     /// The store tells a scheduler of a zone.
     Zone(usize, u64, String, ZoneWord),
     /// A run takes down a life of a worker, if it is still there.
@@ -315,6 +317,7 @@
             Due::Roster(n, life) => self.tell_roster(n, life),
             Due::Recall(n, life) => self.recall(n, life),
             Due::Catalog(n, life, catalog) => self.tell_catalog(n, life, catalog),
+            Due::Ended(n, life) => self.end_leaving(n, life),
             Due::Zone(n, life, zone, word) => self.tell_zone(n, life, &zone, word),
             Due::Crash(n, life, run) => self.crash_under(n, &life, run),
             Due::Back(n) => self.worker_back(n),
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// How long a scheduler that leaves has, in microseconds.
+const LEAVE_US: u64 = 1_500_000;
+
 impl World {
     pub(super) fn new_life(&mut self) -> u64 {
         self.lives += 1;
@@ -80,6 +83,22 @@
         }
     }
 
+    /// A scheduler is asked to leave: it has some seconds to end what it holds, and is started again after that.
+    pub fn leave(&mut self, n: usize) {
+        let life = self.life(Node::Scheduler(n));
+        let ends_at = Duration::from_micros(LEAVE_US);
+        self.with_scheduler(n, |s, now| s.leave(now, now + ends_at));
+        self.at(LEAVE_US, Due::Ended(n, life));
+    }
+
+    pub(super) fn end_leaving(&mut self, n: usize, life: u64) {
+        let node = Node::Scheduler(n);
+        if self.life(node) == life && self.is_up(node) {
+            self.with_scheduler(n, |s, now| s.abandon(now));
+            self.kill(node, false, 300_000);
+        }
+    }
+
     /// A scheduler that has started has read from the store which executors there are.
     pub(super) fn tell_roster(&mut self, n: usize, life: u64) {
         if self.life(Node::Scheduler(n)) == life {
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -121,6 +121,22 @@
     }
 }
 
+/// Schedulers that are asked to leave and hand on what would outlast them, among all other faults.
+#[test]
+fn test_dispatch_run_keeps_every_promise_when_schedulers_leave() {
+    for seed in 1..11 {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            leaving: true,
+            losses: seed % 3 == 0,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
 fn run_suspended(seed: u64, suspensions: Suspensions) -> RunReport {
     run::run_plan(RunPlan {
         seed,
