scheduler: a job that was handed on and may have begun is not refused

A job was handed to a peer and begun there, the link broke, the entry took it back, claimed it and gave it up as it ended: its caller was told that nothing of it had been started. Nobody else had been asked, so the refusal was false.

Ruled out: saying so of every claimed job. What a new entry claims has been handed in before or never, and the caller of an earlier try was not rejected.

Change: a job that was handed on and comes back counts as begun.

--- a/lib/src/dispatch/scheduler/handing.rs
+++ b/lib/src/dispatch/scheduler/handing.rs
@@ -14,6 +14,7 @@
 
 use super::CallerId;
 use super::Scheduler;
+use super::peers::Following;
 use super::peers::Peer;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
@@ -39,7 +40,13 @@
         self.log(Kind::JobHanded, detail);
         // Whoever has this job handed in again meanwhile must not take it for a new one.
         self.announce(number);
-        self.follow_handed(&name, caller, request);
+        let following = Following {
+            peer: name,
+            callers: vec![caller],
+            request,
+            handed: true,
+        };
+        self.following.insert(number, following);
         Ok(())
     }
 
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -48,6 +48,8 @@
     pub peer: String,
     pub callers: Vec<CallerId>,
     pub request: JobRequest,
+    /// Whether it came here first and was handed to the peer.
+    pub handed: bool,
 }
 
 /// Closes links.
@@ -274,6 +276,10 @@
         let Some(following) = self.following.remove(&number) else {
             return;
         };
+        if following.handed {
+            // Its caller was rejected by nobody yet, and the peer may have begun it.
+            self.remember(number, JobOutcome::Unknown, true);
+        }
         for caller in following.callers {
             self.run_here(caller, following.request.clone(), true);
         }
@@ -373,6 +379,9 @@
         let Some(following) = self.following.remove(&number) else {
             return;
         };
+        if following.handed {
+            self.remember(number, JobOutcome::Unknown, true);
+        }
         let other = self.linked_holder(number);
         for caller in following.callers {
             let request = following.request.clone();
@@ -408,16 +417,11 @@
         if let Some(peer) = self.peers.get_mut(peer_name) {
             peer.out.follow.push(number.0);
         }
-        self.follow_handed(peer_name, caller, request);
-    }
-
-    /// Waits for the end of a job that a peer has, and that knows of it.
-    pub(super) fn follow_handed(&mut self, peer_name: &str, caller: CallerId, request: JobRequest) {
-        let number = request.number;
         let following = Following {
             peer: peer_name.to_owned(),
             callers: vec![caller],
             request,
+            handed: false,
         };
         self.following.insert(number, following);
     }
