testutils, tests: evacuations and other writers among real processes

The stand-in workers now and then send a heartbeat that is not theirs (of a life that is over, damaged, with a state unheard of, a field missing or of another type); the soak writes keys that can't be read under the names of members and executors, evacuates one of two zones and takes it back, and asks that nothing is started there 8 s later (the users' 5 s and the longest fault) and that nothing is held for evacuated at the end. Two tests of real processes: a zone evacuated, both, one taken back after lost history; an entry that leaves and refuses new connections.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -156,6 +156,63 @@
     assert_eq!(fleet.violation(), None);
 }
 
+/// Where too few entries of a zone are ready the balancer goes on sending callers to one that leaves. It refuses new
+/// connections once the balancer has had its time, and still answers what it holds.
+#[actix_rt::test]
+async fn test_platform_entry_that_leaves_refuses_new_connections_in_the_end() {
+    let mut fleet = Fleet::start(binary(), 2, 2).await;
+    let entry = fleet.entries[0].callers();
+    let workers = fleet.workers.clone();
+    fleet.entries[0].signal(Signal::SIGTERM);
+    actix_rt::time::sleep(Duration::from_millis(1500)).await;
+    let slow =
+        actix_rt::spawn(async move { callers::hand_in(&workers, entry, job(1, 2, 1800)).await });
+    actix_rt::time::sleep(Duration::from_millis(1200)).await;
+    let late = callers::hand_in(&fleet.workers, entry, job(2, 1, 50)).await;
+    assert_eq!(
+        late.status, 0,
+        "its caller is free to connect elsewhere at once"
+    );
+    assert_eq!(slow.await.expect("a caller").state, "completed");
+    assert!(
+        fleet.entries[0].stop(Duration::from_secs(8)),
+        "it ends well"
+    );
+    assert_eq!(fleet.violation(), None);
+}
+
+/// One of two zones is evacuated and taken back, then both are. Its workers run on; nobody gets anything there.
+#[actix_rt::test]
+async fn test_platform_evacuated_zone_gets_nothing_more() {
+    const HEARD: Duration = Duration::from_millis(500);
+    let fleet = Fleet::start(binary(), 2, 2).await;
+    let [first, second] = [fleet.entries[0].callers(), fleet.entries[1].callers()];
+    let starts = |n: usize| fleet.workers.lock().unwrap().starts[n];
+    fleet.set_evacuated("y", true);
+    actix_rt::time::sleep(HEARD).await;
+    let before = [starts(0), starts(1)];
+    for number in 0..8 {
+        let entry = if number % 2 == 0 { first } else { second };
+        let got = callers::hand_in(&fleet.workers, entry, job(number, 3, 30)).await;
+        assert_eq!(got.state, "completed");
+    }
+    assert_eq!([starts(0) - before[0], starts(1) - before[1]], [24, 0]);
+    fleet.set_evacuated("z", true);
+    actix_rt::time::sleep(HEARD).await;
+    let refused = callers::hand_in(&fleet.workers, first, job(20, 1, 30)).await;
+    assert_eq!(refused.status, 503);
+    assert!(
+        refused.come_back.is_some(),
+        "at once, with a time to come back"
+    );
+    fleet.store.compact();
+    fleet.set_evacuated("y", false);
+    actix_rt::time::sleep(HEARD).await;
+    let got = callers::hand_in(&fleet.workers, second, job(21, 3, 30)).await;
+    assert_eq!(got.state, "completed", "it is taken back");
+    assert_eq!(fleet.violation(), None);
+}
+
 #[actix_rt::test]
 async fn test_platform_agent_that_leaves_finishes_what_runs() {
     let mut fleet = Fleet::start(binary(), 1, 2).await;
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -247,7 +247,8 @@
             let own = SocketAddr::from((at, PEER_PORT));
             let listen = SocketAddr::from((at, PROXY_PORT));
             fleet.proxies.push(FaultProxy::start(listen, own));
-            let node = node(&format!("entry-{number}"), at, store_address, Some(listen));
+            let name = format!("entry-{number}");
+            let node = node(&name, zone_of(0), at, store_address, Some(listen));
             let settings = json!({
                 "node": node,
                 "callers": SocketAddr::from((at, CALLERS_PORT)),
@@ -262,7 +263,7 @@
             let worker = SocketAddr::from((at, WORKER_PORT));
             stand_ins.push(workers::start(worker, beats, shared.clone(), number));
             let settings = json!({
-                "node": node(&format!("agent-{number}"), at, store_address, None),
+                "node": node(&format!("agent-{number}"), zone_of(number), at, store_address, None),
                 "beats": beats,
                 "worker": worker,
                 "hold_ms": 1000,
@@ -296,6 +297,27 @@
         machine
     }
 
+    /// The operator evacuates a zone, or takes it back.
+    ///
+    /// # Panics
+    ///
+    /// When another thread panicked while it held the workers.
+    pub fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        let key = format!("op/evacuate/{zone}");
+        if evacuated {
+            self.store.operator_writes(&key, &json!({}));
+        } else {
+            self.store.operator_removes(&key);
+        }
+        let mut workers = self.workers.lock().unwrap();
+        let since = evacuated.then(|| workers.now());
+        for number in 0..workers.models.len() {
+            if zone_of(number) == zone {
+                workers.evacuated[number] = since;
+            }
+        }
+    }
+
     /// Waits until every entry is ready and every agent is linked to every entry.
     ///
     /// # Panics
@@ -349,10 +371,21 @@
     }
 }
 
-fn node(name: &str, ip: Ipv4Addr, store: SocketAddr, reached_at: Option<SocketAddr>) -> Value {
+/// The availability zone of an agent: two of them in turn, so that one can be evacuated. Entries are in the first.
+pub fn zone_of(agent: usize) -> &'static str {
+    ["z", "y"][agent % 2]
+}
+
+fn node(
+    name: &str,
+    zone: &str,
+    ip: Ipv4Addr,
+    store: SocketAddr,
+    reached_at: Option<SocketAddr>,
+) -> Value {
     json!({
         "name": name,
-        "zone": "z",
+        "zone": zone,
         "ip": ip,
         "ports": [PEER_PORT, PEER_PORT + 15],
         "seeds": [],
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -97,6 +97,8 @@
 const CHANGES: f64 = 0.02;
 /// The share of jobs that take workers down.
 const CRASHING: f64 = 0.02;
+/// The zone that is evacuated now and then: that of every other agent.
+const EVACUATED: &str = "y";
 /// A configuration of this many queues takes about 250 KB.
 const MANY_QUEUES: usize = 1500;
 /// An accepted configuration is in force everywhere within this time once nothing is harmed any more.
@@ -115,6 +117,7 @@
     jobs: u64,
     faults: u64,
     version: u64,
+    evacuated: bool,
     healings: Vec<(Instant, Healing)>,
     timeline: Vec<Played>,
 }
@@ -131,9 +134,11 @@
         jobs: 0,
         faults: 0,
         version: FIRST_VERSION,
+        evacuated: false,
         healings: Vec::new(),
         timeline: Vec::new(),
     };
+    soak.write_strange_keys();
     soak.trouble(plan.span).await;
     let configured = soak.come_back().await;
     let before = soak.completed.get();
@@ -176,6 +181,9 @@
     /// All faults end; the fleet comes back, with the newest configuration in force.
     async fn come_back(&mut self) -> Result<(), String> {
         self.heal_due(Instant::now() + Duration::from_secs(60));
+        if self.evacuated {
+            self.evacuate();
+        }
         self.fleet.wait_until_up().await;
         actix_rt::time::sleep(CONFIGURED).await;
         let mut found = Ok(());
@@ -186,6 +194,11 @@
                 let text = format!("{} serves by {version:?}, not by {newest}", entry.ip);
                 found = Err(text);
             }
+            let zones = fleet::metric(entry.metrics(), "state", "zones_evacuated").await;
+            if zones != Some(0) {
+                let text = format!("{} holds {zones:?} zones for evacuated", entry.ip);
+                found = Err(text);
+            }
         }
         actix_rt::time::sleep(Duration::from_secs(1)).await;
         found
@@ -216,8 +229,28 @@
         );
     }
 
-    /// The operator writes a configuration, a large one in half of the cases.
+    /// The operator evacuates a zone or takes it back.
+    fn evacuate(&mut self) {
+        self.evacuated = !self.evacuated;
+        self.fleet.set_evacuated(EVACUATED, self.evacuated);
+        self.note(format!("zone {EVACUATED} evacuated: {}", self.evacuated));
+    }
+
+    /// Somebody else writes to the store.
+    fn write_strange_keys(&self) {
+        let store = &self.fleet.store;
+        store.stranger_writes("members/stranger-1", "bm8gYWRkcmVzcw==");
+        store.stranger_writes("members/stranger-2", "not base64!");
+        store.stranger_writes("executors/stranger-3", "eyJ3b3JrZXIiOiA3fQ==");
+        store.stranger_writes("executors/stranger-4", "?");
+    }
+
+    /// The operator writes a configuration, a large one in half of the cases; one time in three it evacuates a zone
+    /// instead, or takes it back.
     fn change(&mut self) {
+        if self.changes.random_bool(0.33) {
+            return self.evacuate();
+        }
         self.version += self.changes.random_range(1..4);
         let names: Vec<String> = match self.changes.random_bool(0.5) {
             true => (0..MANY_QUEUES).map(|n| format!("other-{n}")).collect(),
--- a/lib/testutils/src/platform/store.rs
+++ b/lib/testutils/src/platform/store.rs
@@ -89,6 +89,25 @@
         self.contents.lock().unwrap().write(key, Some((text, 0)));
     }
 
+    /// Takes a key away as the operator does.
+    ///
+    /// # Panics
+    ///
+    /// When another thread panicked while it held the store.
+    pub fn operator_removes(&self, key: &str) {
+        self.contents.lock().unwrap().write(key, None);
+    }
+
+    /// Writes a key as somebody else does: its value may be no base64.
+    ///
+    /// # Panics
+    ///
+    /// When another thread panicked while it held the store.
+    pub fn stranger_writes(&self, key: &str, value: &str) {
+        let value = value.to_owned();
+        self.contents.lock().unwrap().write(key, Some((value, 0)));
+    }
+
     /// Sets how the store behaves.
     ///
     /// # Panics
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -33,6 +33,11 @@
 pub const CRASH: &str = "crash";
 /// They do so after this long, in microseconds.
 const CRASH_US: u64 = 10_000;
+/// From so long after an evacuation on nothing is started there, in microseconds: the users' 5 s, and the longest fault
+/// of the soak, which may keep a process from hearing of it.
+const IN_FORCE_US: u64 = 8_000_000;
+/// Each so many heartbeats somebody else writes in the worker's place.
+const STRANGE_EVERY: u64 = 7;
 /// How often a worker beats.
 const BEAT: Duration = Duration::from_millis(200);
 /// How often a hold that waits looks for an end.
@@ -48,6 +53,10 @@
     pub service: String,
     /// How many lives were taken down by a task.
     pub crashes: u64,
+    /// How many tasks each worker has begun.
+    pub starts: Vec<u64>,
+    /// Since when each worker is in an evacuated zone, in microseconds.
+    pub evacuated: Vec<Option<u64>>,
     /// Runs that will take their worker down: when, at which worker, and which.
     crashing: Vec<(u64, usize, RunName)>,
     start: Instant,
@@ -65,6 +74,8 @@
             witness: Witness::default(),
             service: service.to_owned(),
             crashes: 0,
+            starts: vec![0; count],
+            evacuated: vec![None; count],
             crashing: Vec::new(),
             start: Instant::now(),
             lives: 0,
@@ -154,6 +165,13 @@
         let cpu = |t: &TaskName| jobs.get(&t.job).map_or(0, |j| j.cpu);
         let taken = self.models[number].running.keys().map(cpu).sum();
         self.witness.started(task, elsewhere, taken, CAPACITY);
+        self.starts[number] += 1;
+        let now = self.now();
+        let since = self.evacuated[number].map(|at| now.saturating_sub(at));
+        if since.is_some_and(|since| since >= IN_FORCE_US) {
+            let what = format!("{task} was started at worker {number}, which is evacuated");
+            self.witness.break_promise(what);
+        }
     }
 }
 
@@ -210,15 +228,37 @@
             });
             (model.life.clone(), document)
         };
-        let call = client.put(format!("http://{beats}/-/instances/{life}"));
-        let _ = call
-            .timeout(Duration::from_secs(1))
-            .send_json(&document)
-            .await;
+        if sequence.is_multiple_of(STRANGE_EVERY) {
+            let (life, body) = strange_beat(&life, &document, sequence / STRANGE_EVERY);
+            send_beat(&client, beats, &life, body).await;
+        }
+        send_beat(&client, beats, &life, document.to_string()).await;
         tokio::time::sleep(BEAT).await;
     }
 }
 
+async fn send_beat(client: &awc::Client, beats: SocketAddr, life: &str, body: String) {
+    let call = client.put(format!("http://{beats}/-/instances/{life}"));
+    let _ = call.timeout(Duration::from_secs(1)).send_body(body).await;
+}
+
+/// A heartbeat that is not the worker's: of a life that is over, damaged, or with something missing or unheard of.
+fn strange_beat(life: &str, document: &Value, turn: u64) -> (String, String) {
+    let mut document = document.clone();
+    match turn % 5 {
+        0 => return ("i-0".to_owned(), document.to_string()),
+        1 => return (life.to_owned(), "{\"service\": \"s".to_owned()),
+        2 => document["state"] = json!("resting"),
+        3 => document["service"] = json!(7),
+        _ => {
+            if let Some(fields) = document.as_object_mut() {
+                fields.remove("capacity");
+            }
+        }
+    }
+    (life.to_owned(), document.to_string())
+}
+
 fn life_of(request: &HttpRequest, desk: &Desk) -> String {
     let header = request.headers().get("Stackcourse-Expected-Instance");
     let named = header.and_then(|v| v.to_str().ok()).map(str::to_owned);
