scheduler: of a confined queue a job is given up after one crash that only it can have caused

Cause: a job that crashes workers costs two of them three seconds each; in the part of the workers that a queue is confined to these are most of what there is.

Change: executors say whether all runs that share a crash are of one job. If its queue is confined it is given up with the answer that says no more than that it was not done.

--- a/lib/src/dispatch/executor/crashes.rs
+++ b/lib/src/dispatch/executor/crashes.rs
@@ -122,6 +122,7 @@
             for task in of_job {
                 if let Some(run) = self.runs.get_mut(task) {
                     run.blame = each;
+                    run.sole = jobs.len() == 1;
                 }
             }
         }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -62,6 +62,8 @@
     pub crashed: bool,
     /// The part of that crash that falls to it, in thousandths.
     pub blame: u32,
+    /// Whether all runs that share it are of the same job.
+    pub sole: bool,
     spec: Rc<str>,
     checkpoint: String,
 }
@@ -186,6 +188,7 @@
             crashes: waiting.crashes,
             crashed: false,
             blame: 0,
+            sole: false,
             spec: waiting.spec,
             checkpoint: waiting.checkpoint,
         };
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -299,6 +299,7 @@
             waited_us: crate::clock::micros(run.waited),
             crashes: run.crashes.proto(),
             blame: run.blame,
+            sole: run.sole,
         };
         self.push_end(&run.scheduler, end);
     }
@@ -315,6 +316,7 @@
             waited_us: crate::clock::micros(now.since(waiting.came)),
             crashes: waiting.crashes.proto(),
             blame: 0,
+            sole: false,
         };
         self.push_end(&waiting.scheduler, end);
     }
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -124,7 +124,7 @@
         evidence: ms = 15, 0..=60_000;
         /// Crashes are counted over this long. A worker that has crashed is down for three seconds.
         span: ms = 3000, 1..=600_000;
-        /// A queue is confined once so many crashes fall to it. One proves nothing.
+        /// A queue is confined once so many crashes fall to it. One proves nothing; with 1 crashes that nobody is to blame for confine one.
         crashes: ratio = 2.0, 0.0..=1000.0;
         /// At least this share of all crashes must fall to it.
         most_of: ratio = 0.6, 0.0..=1.0;
--- a/lib/src/dispatch/scheduler/bulkhead.rs
+++ b/lib/src/dispatch/scheduler/bulkhead.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Whether the queue of a job is confined. One crash is enough then to give a job up, if only runs of it began just
+    /// before: most of the crashes of late were by jobs like it, and another one would keep a worker from those
+    /// that are not. It does not prove the job's fault, so its caller is not told that it has failed.
+    pub(super) fn is_confined(&self, number: JobNumber) -> bool {
+        let job = self.jobs.get(&number);
+        job.is_some_and(|j| self.bulkheads.confines(&j.request.queue))
+    }
+
     /// The executors to which a queue is confined.
     fn bulkhead_of(&self, queue: &str) -> BTreeSet<ExecutorKey> {
         let seed = xxh3_64_with_seed(queue.as_bytes(), 0);
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -36,6 +36,9 @@
         }
         self.blame_run(name.job, end.blame);
         self.note_crashes(name, CrashRecord::from_proto(end.crashes));
+        if end.sole && self.is_confined(name.job) {
+            return self.give_up(name.job, "crashes");
+        }
         self.task_gone(key, name, attempt, kind);
     }
 
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -198,6 +198,9 @@
     /// The part of the crash of its worker that falls to this run, in thousandths.
     #[prost(uint32, tag = "8")]
     pub blame: u32,
+    /// Whether all runs that began just before that crash were of its job.
+    #[prost(bool, tag = "9")]
+    pub sole: bool,
 }
 /// What falls to a queue of the crashes of workers.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_scheduler/bulkheads.rs
+++ b/lib/tests/runner/test_scheduler/bulkheads.rs
@@ -78,6 +78,40 @@
         });
     }
 
+    /// A job of `q` is placed, and its worker crashes under it alone; what callers are told.
+    fn crash(&mut self, job: u64, number: u64) -> Vec<(u64, JobOutcome)> {
+        self.live(0);
+        self.bench.actions.clear();
+        self.submit(job, "q");
+        let sent = self.bench.actions.iter().find_map(|a| match a {
+            Action::Send(link, body) => match &**body {
+                Body::Orders(orders) if !orders.starts.is_empty() => Some(*link),
+                _ => None,
+            },
+            _ => None,
+        });
+        let end = proto::TaskEnd {
+            number,
+            task: Some(task(job, 0).proto(1)),
+            kind: EndKind::Crashed.code(),
+            crashes: Some(proto::CrashRecord {
+                count: 1,
+                suspect: true,
+                ..proto::CrashRecord::default()
+            }),
+            blame: 1000,
+            sole: true,
+            ..proto::TaskEnd::default()
+        };
+        let update = proto::Update {
+            ends: vec![end],
+            ..proto::Update::default()
+        };
+        self.bench.actions.clear();
+        self.bench.update_on(sent.expect("it was placed"), update);
+        self.bench.answers()
+    }
+
     /// The executors at which forty jobs of a queue are placed.
     fn places(&mut self, from: u64, queue: &str) -> std::collections::BTreeSet<u64> {
         self.live(0);
@@ -122,6 +156,18 @@
     );
 }
 
+/// A second crash would keep another worker of the few from the jobs of the queue that take none down.
+#[test]
+fn test_scheduler_gives_up_after_one_crash_what_alone_was_there_of_a_confined_queue() {
+    let mut fleet = Fleet::new();
+    fleet.places(100, "q");
+    fleet.places(200, "r");
+    assert_eq!(fleet.crash(900, 1), [], "one crash proves nothing");
+    fleet.blame("q", 600);
+    fleet.blame("q", 600);
+    assert_eq!(fleet.crash(901, 2), [(901, JobOutcome::GivenUp)]);
+}
+
 /// Workers that crash by themselves take what runs there, by how much of each queue does.
 #[test]
 fn test_scheduler_confines_no_queue_for_crashes_that_fall_to_all() {
