--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -154,7 +154,7 @@
 
     fn perform(&self, now: Mono, action: Action) {
         match action {
-            Action::Send(link, body) => self.inner.links.send(link, body),
+            Action::Send(link, body) => self.inner.links.send(link, *body),
             Action::Close(link) => self.inner.links.remove(link),
             Action::Start(call) => self.call_start(call),
             Action::Stop(life, run, fence) => self.call_stop(life, run, fence),
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -12,6 +12,7 @@
 mod health;
 mod lists;
 mod lives;
+mod reports;
 mod runs;
 mod sessions;
 
@@ -76,7 +77,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a message on a link.
-    Send(LinkId, proto::frame::Body),
+    Send(LinkId, Box<proto::frame::Body>),
     /// Close a link.
     Close(LinkId),
     /// Send a start to the worker and hand in the reply.
@@ -206,7 +207,7 @@
             claims: BTreeMap::new(),
             memory: CrashMemory::default(),
             last_end: 0,
-            profile_edition: sessions::edition_of(&proto::Profile::default()),
+            profile_edition: reports::edition_of(&proto::Profile::default()),
             leased: Vec::new(),
             leases_stale: None,
             health: Health::new(setup.policy.health),
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -1,11 +1,8 @@
-//! Sessions with schedulers: leases, orders taken in, ends and reports given out.
+//! Sessions with schedulers: leases, orders taken in, ends kept for them. What they are told stands in `reports`.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use prost::Message;
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::Action;
 use super::Executor;
 use super::runs::Run;
@@ -13,7 +10,6 @@
 use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
-use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
 use crate::event::Kind;
@@ -49,19 +45,6 @@
     pub zone_told: u64,
 }
 
-/// What has changed of leases is told after this long: a scheduler that has just linked says within a round trip
-/// whether it places tasks here, and in a large fleet most do not.
-const LEASES_SETTLE: Duration = Duration::from_millis(20);
-
-/// A run that goes slowly, as it is told; none if it is not there any more.
-fn slow_run(runs: &BTreeMap<TaskName, Run>, task: TaskName) -> Option<proto::SlowRun> {
-    let run = runs.get(&task)?;
-    Some(proto::SlowRun {
-        task: Some(task.proto(run.attempt)),
-        remaining_ms: crate::clock::millis(run.remaining?) as u32,
-    })
-}
-
 /// The key of a session, and of what runs for it: a scheduler's name and life.
 fn owner_of(greeting: &proto::Greeting) -> String {
     format!("{}#{:x}", greeting.name, greeting.incarnation)
@@ -332,194 +315,4 @@
             session.urgent = true;
         }
     }
-
-    /// Sends updates to the schedulers that are due one.
-    pub(super) fn report(&mut self, now: Mono) {
-        self.settle_leases(now);
-        let reports = self.setup.policy.reports;
-        let idle_heartbeat = self.setup.policy.cells.heartbeat;
-        let near = self.sessions.values().filter(|s| !s.standby).count() as u32;
-        let least = reports.gap.max(reports.gap_each * near);
-        let edition = self.profile_edition;
-        let due = |s: &Session| {
-            let gap = now.since(s.last_sent);
-            let untold = s.profile_told != edition;
-            match s.standby {
-                _ if s.urgent => true,
-                true => gap >= idle_heartbeat || (untold && gap >= reports.heartbeat),
-                false => gap >= reports.heartbeat || (s.changed && gap >= least),
-            }
-        };
-        let linked = self.sessions.iter().filter(|(_, s)| s.link.is_some());
-        let names = linked.filter(|(_, s)| due(s)).map(|(n, _)| n.clone());
-        let names: Vec<String> = names.collect();
-        for name in names {
-            self.send_update(now, &name);
-        }
-    }
-
-    fn send_update(&mut self, now: Mono, name: &str) {
-        let worker = Some(self.worker_report(now));
-        let told = self.sessions[name].profile_told;
-        let untold = told != self.profile_edition;
-        let profile = untold.then(|| self.profile_for(name));
-        let held = self.sessions[name].list_held.then(|| self.held_for(name));
-        let Some(session) = self.sessions.get_mut(name) else {
-            return;
-        };
-        let Some(link) = session.link else {
-            return;
-        };
-        let fresh = session.ends.range(session.told + 1..);
-        let ends: Vec<proto::TaskEnd> = fresh.map(|(_, e)| e.clone()).collect();
-        session.told = self.last_end;
-        session.urgent = false;
-        session.changed = false;
-        session.list_held = false;
-        if let Some(profile) = &profile {
-            session.profile_told = edition_of(profile);
-        }
-        session.last_sent = now;
-        let claimed: Vec<JobNumber> = session.claimed.drain(..).collect();
-        let crashed = claimed.iter().flat_map(|job| self.memory.of_job(*job));
-        let crashed = crashed.collect();
-        let claimed = claimed.iter().map(|job| job.0).collect();
-        let denied = session.denied.drain(..).map(|j| j.0).collect();
-        let word = self.zone_word;
-        let news = word.revision > session.zone_told;
-        session.zone_told = session.zone_told.max(word.revision);
-        let zone = news.then(|| word.proto(&self.setup.zone));
-        let slow = std::mem::take(&mut session.slow);
-        let slow = slow.iter().filter_map(|task| slow_run(&self.runs, *task));
-        let slow = slow.collect();
-        let worker = worker.map(|w| proto::WorkerReport {
-            sequence: session.sequence,
-            ..w
-        });
-        let update = proto::Update {
-            clock_us: now.0,
-            worker,
-            ends,
-            claimed,
-            held,
-            denied,
-            profile,
-            slow,
-            crashed,
-            zone,
-        };
-        let body = proto::frame::Body::Update(update);
-        self.actions.push(Action::Send(link, body));
-    }
-
-    /// Notes that a run goes slowly at a worker that is slow, so that its scheduler can have it run
-    /// elsewhere.
-    pub(super) fn tell_if_slow(&mut self, task: TaskName) {
-        let slow =
-            f64::from(self.health.pace_percent()) > self.setup.policy.health.slow_ratio * 100.0;
-        let Some(run) = self.runs.get(&task).filter(|_| slow) else {
-            return;
-        };
-        let remaining = run.remaining.unwrap_or_default();
-        if remaining > run.estimate
-            && let Some(session) = self.sessions.get_mut(&run.scheduler)
-            && !session.slow.contains(&task)
-        {
-            session.slow.push(task);
-            session.changed = true;
-        }
-    }
-
-    fn held_for(&self, name: &str) -> proto::HeldTasks {
-        let runs = self.runs.iter().filter(|(_, r)| r.scheduler == name);
-        let runs = runs.map(|(t, r)| t.proto(r.attempt));
-        let waits = self.queue.iter().filter(|w| w.scheduler == name);
-        let waits = waits.map(|w| w.task.proto(w.attempt));
-        proto::HeldTasks {
-            tasks: runs.chain(waits).collect(),
-        }
-    }
-
-    fn worker_report(&self, now: Mono) -> proto::WorkerReport {
-        let Some(worker) = &self.worker else {
-            return proto::WorkerReport::default();
-        };
-        let capacity = worker.beat.capacity;
-        let mut free = Free::of(capacity).less(self.used);
-        for waiting in &self.queue {
-            free = free.less(waiting.demand);
-        }
-        proto::WorkerReport {
-            ready: self.ready(now),
-            free_cpu_milli: free.cpu_milli,
-            free_memory_mb: free.memory_mb,
-            free_gpu: free.gpu,
-            sequence: 0,
-            pace_percent: self.health.pace_percent(),
-            suspect: self.health.is_suspect(),
-        }
-    }
-
-    /// Takes note that what schedulers are told seldom has changed.
-    pub(super) fn profile_changed(&mut self) {
-        self.profile_edition = edition_of(&self.profile(self.leased.clone()));
-        for session in self.sessions.values_mut() {
-            session.changed = true;
-        }
-    }
-
-    /// Takes note that schedulers have come or gone, or have begun or ceased to place tasks here.
-    fn leases_changed(&mut self, now: Mono) {
-        self.leases_stale.get_or_insert(now);
-    }
-
-    /// Tells who holds leases here, once it has been the same for a moment.
-    fn settle_leases(&mut self, now: Mono) {
-        if self
-            .leases_stale
-            .is_none_or(|at| now.since(at) < LEASES_SETTLE)
-        {
-            return;
-        }
-        self.leases_stale = None;
-        let holders = self.sessions.values().filter(|s| !s.standby);
-        let mut leased: Vec<String> = holders.map(|s| s.name.clone()).collect();
-        leased.sort();
-        if leased != self.leased {
-            self.leased = leased;
-            self.profile_changed();
-        }
-    }
-
-    /// The profile as one scheduler is told it. One that has just linked counts as holding a lease.
-    fn profile_for(&self, owner: &str) -> proto::Profile {
-        let mut leased = self.leased.clone();
-        let session = &self.sessions[owner];
-        if !session.standby && !leased.contains(&session.name) {
-            leased.push(session.name.clone());
-            leased.sort();
-        }
-        self.profile(leased)
-    }
-
-    fn profile(&self, leased: Vec<String>) -> proto::Profile {
-        let Some(worker) = &self.worker else {
-            return proto::Profile {
-                leased,
-                ..proto::Profile::default()
-            };
-        };
-        proto::Profile {
-            worker: worker.beat.life.clone(),
-            service: worker.beat.service.clone(),
-            capacity: Some(worker.beat.capacity.proto()),
-            labels: worker.beat.labels.clone(),
-            leased,
-        }
-    }
-}
-
-/// Tells editions of the profile apart.
-pub(super) fn edition_of(profile: &proto::Profile) -> u64 {
-    xxh3_64(&profile.encode_to_vec())
 }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -20,6 +20,7 @@
 mod pace;
 mod peers;
 mod placing;
+mod rank;
 mod submit;
 
 use std::collections::BTreeMap;
--- a/lib/src/dispatch/scheduler/cell.rs
+++ b/lib/src/dispatch/scheduler/cell.rs
@@ -10,10 +10,10 @@
 //! can claim jobs, and can lend itself some of them while its cell has no room.
 
 use rand::seq::IteratorRandom;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Scheduler;
 use super::fleet::ExecutorKey;
+use super::rank::Rank;
 use crate::prelude::*;
 
 /// Where a fleet is more than one cell, tasks are placed at an executor this long after it was taken into the cell,
@@ -21,24 +21,6 @@
 /// next message of a link on which one is due each 100 ms.
 pub(super) const CELL_SETTLE: Duration = Duration::from_millis(200);
 
-/// An executor's place in a scheduler's order; the lowest are its cell.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Rank {
-    elsewhere: bool,
-    hash: u64,
-}
-
-impl Rank {
-    /// The rank of an executor for the scheduler of this name.
-    pub fn of(scheduler: &str, executor: &str, same_zone: bool) -> Rank {
-        let seed = xxh3_64_with_seed(scheduler.as_bytes(), 0);
-        Rank {
-            elsewhere: !same_zone,
-            hash: xxh3_64_with_seed(executor.as_bytes(), seed),
-        }
-    }
-}
-
 /// The cell of a scheduler.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Cell {
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -198,7 +198,10 @@
 
     fn updates(&self, link: LinkId) -> Vec<proto::Update> {
         let sent = self.actions.iter().filter_map(|a| match a {
-            Action::Send(to, Body::Update(update)) if *to == link => Some(update.clone()),
+            Action::Send(to, body) if *to == link => match &**body {
+                Body::Update(update) => Some(update.clone()),
+                _ => None,
+            },
             _ => None,
         });
         sent.collect()
--- a/lib/tests/runner/test_executor/lives.rs
+++ b/lib/tests/runner/test_executor/lives.rs
@@ -37,7 +37,7 @@
         let updates = self.updates(ONE).into_iter();
         updates
             .filter_map(|u| u.profile)
-            .last()
+            .next_back()
             .expect("it was told")
     }
 
--- a/lib/tests/runner/test_executor/recall.rs
+++ b/lib/tests/runner/test_executor/recall.rs
@@ -38,11 +38,11 @@
 }
 
 fn last_life_asked(bench: &Bench) -> Option<String> {
-    let holds = bench.actions.iter().filter_map(|a| match a {
+    let mut holds = bench.actions.iter().filter_map(|a| match a {
         Action::Hold(call) => Some(call.life.clone()),
         _ => None,
     });
-    holds.last()
+    holds.next_back()
 }
 
 #[test]
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -70,7 +70,7 @@
 #[derive(Debug)]
 enum Due {
     Tick(Node, u64),
-    Deliver(LinkId, Node, Body),
+    Deliver(LinkId, Node, Box<Body>),
     Closed(LinkId, Node),
     Dial(Node, Node, u64),
     Beat(usize),
@@ -296,7 +296,7 @@
         self.steps += 1;
         match due {
             Due::Tick(node, life) => self.tick(node, life),
-            Due::Deliver(link, node, body) => self.deliver(link, node, body),
+            Due::Deliver(link, node, body) => self.deliver(link, node, *body),
             Due::Closed(link, node) => self.closed(link, node),
             Due::Dial(from, to, life) => self.dial(from, to, life),
             Due::Beat(number) => self.beat(number),
@@ -366,7 +366,7 @@
         let actions = node.executor.take_actions();
         for action in actions {
             match action {
-                executor::Action::Send(link, body) => self.send(Node::Executor(n), link, body),
+                executor::Action::Send(link, body) => self.send(Node::Executor(n), link, *body),
                 executor::Action::Close(link) => self.close(Node::Executor(n), link),
                 executor::Action::Start(call) => {
                     if self.executors[n].executor.is_evacuated() {
--- a/lib/testutils/src/dispatch/world/links.rs
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -43,7 +43,7 @@
         let wire = self.network.wires.get_mut(&link).expect("it was there");
         wire.last[way] = arrives;
         let wait = arrives - self.now;
-        self.at(wait, Due::Deliver(link, to, body));
+        self.at(wait, Due::Deliver(link, to, Box::new(body)));
     }
 
     pub(super) fn deliver(&mut self, link: LinkId, node: Node, body: Body) {
