http, platform: an entry that leaves lets go of callers' connections

Its last ones were told to come again, 1.3 s later.

Change: each answer of an entry that leaves ends its connection. A test of real processes.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -9,6 +9,7 @@
 use stackcourse_testutils::fault_proxy::Fault;
 use stackcourse_testutils::platform::callers;
 use stackcourse_testutils::platform::callers::CallerJob;
+use stackcourse_testutils::platform::callers::HOST;
 use stackcourse_testutils::platform::callers::PREFIX;
 use stackcourse_testutils::platform::fleet;
 use stackcourse_testutils::platform::fleet::Fleet;
@@ -17,6 +18,9 @@
 use stackcourse_testutils::platform::soak;
 use stackcourse_testutils::platform::soak::SoakPlan;
 use stackcourse_testutils::platform::store::Mood;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 fn binary() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_stackcourse"))
@@ -181,6 +185,41 @@
     assert_eq!(fleet.violation(), None);
 }
 
+/// A caller that keeps its connection stays with the entry until that ends. The next answer of one that leaves ends it.
+#[actix_rt::test]
+async fn test_platform_entry_that_leaves_lets_go_of_connections() {
+    let fleet = Fleet::start(binary(), 2, 1).await;
+    let entry = fleet.entries[0].callers();
+    let mut stream = TcpStream::connect(entry).await.expect("it listens");
+    let kept = exchange(&mut stream).await;
+    assert!(
+        kept.starts_with("http/1.1 200") && !kept.contains("connection: close"),
+        "{kept}"
+    );
+    fleet.entries[0].signal(Signal::SIGTERM);
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    let last = exchange(&mut stream).await;
+    assert!(
+        last.starts_with("http/1.1 200") && last.contains("connection: close"),
+        "{last}"
+    );
+    let mut rest = Vec::new();
+    let end = stream.read_to_end(&mut rest).await;
+    assert_eq!(end.expect("it ends well"), 0);
+}
+
+/// Asks how many jobs wait; the answer, in small letters.
+async fn exchange(stream: &mut TcpStream) -> String {
+    let request = format!("GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it is open");
+    let mut bytes = vec![0u8; 4096];
+    let n = stream.read(&mut bytes).await.expect("an answer");
+    String::from_utf8_lossy(&bytes[..n]).to_lowercase()
+}
+
 /// One of two zones is evacuated and taken back, then both are. Its workers run on; nobody gets anything there.
 #[actix_rt::test]
 async fn test_platform_evacuated_zone_gets_nothing_more() {
--- a/lib/daemon/src/dispatch/http.rs
+++ b/lib/daemon/src/dispatch/http.rs
@@ -13,6 +13,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
 use actix_http::HttpMessage;
 use actix_http::HttpService;
 use actix_http::Request;
@@ -87,6 +88,10 @@
     fn max_body(&self) -> usize;
     /// Serves one request.
     fn serve(&self, call: Call) -> impl Future<Output = Response<BoxBody>>;
+    /// Whether a connection ends with its next answer.
+    fn closes(&self) -> bool {
+        false
+    }
 }
 
 /// Serves a listener for as long as the process lives.
@@ -128,7 +133,7 @@
 async fn take<H: Handler>(handler: &H, mut request: Request) -> Response<BoxBody> {
     let gone = request.conn_data::<Gone>().cloned().unwrap_or_default();
     let body = read_body(request.take_payload(), handler.max_body()).await;
-    match body {
+    let mut response = match body {
         Ok(body) => {
             let call = Call {
                 request,
@@ -138,7 +143,12 @@
             handler.serve(call).await
         }
         Err(_) => Response::bad_request().map_into_boxed_body(),
+    };
+    if handler.closes() {
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
+    response
 }
 
 type AnyPayload = actix_http::Payload;
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -368,6 +368,11 @@
         self.log(Kind::Leaving, self.setup.name.clone());
     }
 
+    /// Whether it has been asked to leave.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
     /// Whether a job can't be expected to end before this process does.
     fn ends_too_late(&self, job: &Job) -> bool {
         let whole = job.chain.iter().copied().max().unwrap_or_default();
