scheduler: a handed job that a third scheduler has is not begun a second time

Cause: the leaving entry announces the job it hands on, so at the receiver it was the last to have said that it has it; only that one was looked at. A third scheduler that had the job was overlooked, and the job begun beside it. Found by reading; the test failed before.

Change: all who have said so count but the one that hands it on: one that is linked has it, one that is not is claimed against. Also: what peers tell of several crashes at once is not cut to one, and queues without starts are forgotten.

--- a/lib/src/dispatch/scheduler/bulkhead.rs
+++ b/lib/src/dispatch/scheduler/bulkhead.rs
@@ -28,6 +28,9 @@
 /// How long starts count in the part of a queue, in seconds: a few of a queue with one job a second.
 const START_MEMORY_S: f64 = 2.0;
 
+/// A queue with fewer starts of late than this is forgotten: one start, fourteen seconds ago.
+const LEAST_STARTS: f64 = 0.001;
+
 /// A part of a crash that falls to a queue.
 #[derive(Clone, Debug)]
 struct Blame {
@@ -118,6 +121,8 @@
         while self.blames.front().is_some_and(|b| now.since(b.at) >= span) {
             self.blames.pop_front();
         }
+        self.starts
+            .retain(|_, starts| starts.now(now) >= LEAST_STARTS);
     }
 
     fn proto(&self, now: Mono) -> Vec<proto::ConfinedQueue> {
@@ -161,7 +166,7 @@
     }
 
     fn note_blame(&mut self, queue: &str, permille: u32) {
-        let part = f64::from(permille.min(1000)) / 1000.0;
+        let part = f64::from(permille) / 1000.0;
         self.bulkheads.note_blame(self.now, queue, part);
         let policy = self.setup.policy.bulkheads;
         self.bulkheads.forget(self.now, policy.span);
--- a/lib/src/dispatch/scheduler/handing.rs
+++ b/lib/src/dispatch/scheduler/handing.rs
@@ -70,9 +70,10 @@
         if let Some(outcome) = self.known_outcome(number) {
             return self.tell_peer_end(name, number, outcome);
         }
-        let elsewhere = self
-            .linked_holder(number)
-            .is_some_and(|holder| holder != name);
+        let others = self.announced.holders(number);
+        let others: Vec<&str> = others.filter(|holder| *holder != name).collect();
+        let elsewhere = others.iter().any(|holder| self.is_linked(holder));
+        let known = !others.is_empty();
         if elsewhere || self.following.contains_key(&number) {
             return self.tell_peer_end(name, number, JobOutcome::Unknown);
         }
@@ -85,7 +86,7 @@
             let outcome = self.refusal();
             return self.tell_peer_end(name, number, outcome);
         }
-        let claim = self.in_doubt();
+        let claim = known || self.in_doubt();
         self.run_for_peer(name, request, claim);
         self.place();
     }
--- a/lib/tests/runner/test_scheduler/handing.rs
+++ b/lib/tests/runner/test_scheduler/handing.rs
@@ -163,3 +163,22 @@
     });
     assert_matches!(bench.ends_told(PEER)[..], [(9, JobOutcome::Refused(_))]);
 }
+
+/// A third scheduler has the job: handed on, it is not begun a second time.
+#[test]
+fn test_scheduler_does_not_run_a_handed_job_that_another_peer_has() {
+    let mut bench = Bench::ready();
+    bench.link_peer(PEER, "s2", "z");
+    bench.link_peer(OTHER_PEER, "s3", "z");
+    bench.announce_on(OTHER_PEER, 7);
+    let mut leaving = leaving();
+    leaving.submit_of(1, 7, 2, 900);
+    let handed = vec![leaving.handed().remove(0).1];
+    bench.peer(proto::PeerUpdate {
+        jobs: vec![7],
+        handed,
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.starts(), []);
+    assert_eq!(bench.ends_told(PEER), [(7, JobOutcome::Unknown)]);
+}
