executor: a question about another life hurries no other

Cause: a heartbeat of another life that had not been asked about when the worker left made the agent ask who is there without its pause: 20 times in 20 ms on the state machine. Found by reading; the test failed before.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -337,7 +337,8 @@
     }
 
     fn hold(&mut self, now: Mono) {
-        if self.holding || (now < self.hold_at && !self.lives.is_unasked()) {
+        let hurried = self.worker.is_some() && self.lives.is_unasked();
+        if self.holding || (now < self.hold_at && !hurried) {
             return;
         }
         let Some(worker) = &self.worker else {
--- a/lib/tests/runner/test_executor/lives.rs
+++ b/lib/tests/runner/test_executor/lives.rs
@@ -106,6 +106,27 @@
     assert_eq!(bench.last_profile().worker, "");
 }
 
+/// A question that was not asked yet does not hurry the ones about nobody in particular.
+#[test]
+fn test_executor_without_a_worker_asks_as_seldom_as_ever() {
+    let mut bench = Bench::ready();
+    bench.beat("w2", false, 1);
+    bench.executor.worker_left(bench.now, "w1");
+    bench.take();
+    bench.held(HoldReply::NoAnswer);
+    let before = bench.holds();
+    let mut answered = before - 1;
+    for _ in 0..20 {
+        if bench.holds() > answered {
+            answered = bench.holds();
+            bench.held(HoldReply::NoAnswer);
+        }
+        bench.pass(1);
+    }
+    let more = bench.holds() - before;
+    assert!(more <= 1, "{more} in 20 ms");
+}
+
 #[test]
 fn test_executor_goes_by_the_service_that_tasks_were_started_for() {
     let mut bench = Bench::ready();
