tests: a key that lapsed while the store was away is back within two seconds of its return

Twenty processes on a paused clock, the store away for 14.3 s, leases over by then: all keys are written again within 2 s. It held before; nothing else showed it.

--- a/lib/daemon/tests/runner/test_follow.rs
+++ b/lib/daemon/tests/runner/test_follow.rs
@@ -112,3 +112,95 @@
         );
     }
 }
+
+/// A store that is away for a span, after which all leases that were granted before are over and their keys gone.
+struct ForgetfulStore {
+    away: std::ops::Range<Instant>,
+    /// When the key was last written.
+    written: Rc<Cell<Option<Instant>>>,
+}
+
+impl ForgetfulStore {
+    fn answer<T>(&self, value: T) -> Result<T, StoreError> {
+        if self.away.contains(&Instant::now()) {
+            return Err(StoreError::Away);
+        }
+        Ok(value)
+    }
+}
+
+impl KeyStore for ForgetfulStore {
+    async fn get(&self, key: &str) -> Result<(Option<Item>, u64), StoreError> {
+        let item = Item {
+            key: key.to_owned(),
+            value: Bytes::new(),
+            revision: 1,
+            fault: None,
+        };
+        self.answer((Some(item), 1))
+    }
+
+    async fn list(&self, _prefix: &str) -> Result<(Vec<Item>, u64), StoreError> {
+        self.answer((Vec::new(), 1))
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        after: u64,
+        _wait: Duration,
+    ) -> Result<(Vec<Change>, u64), StoreError> {
+        self.answer((Vec::new(), after))
+    }
+
+    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
+        self.answer(())?;
+        self.written.set(Some(Instant::now()));
+        Ok(())
+    }
+
+    async fn grant(&self, _ttl: Duration) -> Result<Lease, StoreError> {
+        let number = u64::from(Instant::now() >= self.away.end);
+        self.answer(Lease(number))
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), StoreError> {
+        self.answer(())?;
+        let lapsed = lease.0 == 0 && Instant::now() >= self.away.end;
+        if lapsed {
+            Err(StoreError::NoLease)
+        } else {
+            Ok(())
+        }
+    }
+
+    async fn end(&self, _lease: Lease) -> Result<(), StoreError> {
+        self.answer(())
+    }
+}
+
+/// A process whose key has lapsed while the store was away has it there again within two seconds of its return.
+#[actix_rt::test]
+async fn test_registered_key_that_has_lapsed_is_back_within_two_seconds() {
+    tokio::time::pause();
+    let begun = Instant::now();
+    let away = begun + Duration::from_millis(1000)..begun + Duration::from_millis(15_300);
+    let written: Vec<_> = (0..20).map(|_| Rc::new(Cell::new(None))).collect();
+    for written in &written {
+        let store = Rc::new(ForgetfulStore {
+            away: away.clone(),
+            written: written.clone(),
+        });
+        let value = tokio::sync::watch::channel(Bytes::from_static(b"here")).1;
+        let key = "members/a".to_owned();
+        let leaving = tokio_util::sync::CancellationToken::new();
+        actix_rt::spawn(follow::keep_registered(store, key, value, leaving));
+    }
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    for written in written {
+        let at = written.get().expect("it was written");
+        let back = at.checked_duration_since(away.end);
+        let back = back.expect("it is written again after the return");
+        assert!(back < Duration::from_secs(2), "{back:?} after the return");
+    }
+}
