--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -31,7 +31,7 @@
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Policy;
 use crate::dispatch::timings::RunTimings;
-use crate::dispatch::zones::ZoneWord;
+use crate::dispatch::zones::ZoneRecord;
 use crate::event::Event;
 use crate::event::Kind;
 use crate::prelude::*;
@@ -186,8 +186,8 @@
     holds: u64,
     hold_at: Mono,
     leaving: bool,
-    /// The newest word on its availability zone.
-    zone_word: ZoneWord,
+    /// The newest record of its availability zone.
+    zone_record: ZoneRecord,
     counts: ExecutorCounts,
     timings: RunTimings,
     actions: Vec<Action>,
@@ -220,7 +220,7 @@
             holds: 0,
             hold_at: Mono::default(),
             leaving: false,
-            zone_word: ZoneWord::default(),
+            zone_record: ZoneRecord::default(),
             counts: ExecutorCounts::default(),
             timings: RunTimings::default(),
             actions: Vec::new(),
@@ -297,7 +297,7 @@
         let age = self.setup.heartbeat.mul_f64(beats);
         let known = |w: &Worker| now.since(w.heard) < age;
         let ready = |w: &Worker| w.clean && w.answers && !w.beat.draining && known(w);
-        let open = !self.leaving && !self.zone_word.evacuated;
+        let open = !self.leaving && !self.zone_record.evacuated;
         open && self.worker.as_ref().is_some_and(ready)
     }
 
--- a/lib/src/dispatch/executor/evacuation.rs
+++ b/lib/src/dispatch/executor/evacuation.rs
@@ -4,7 +4,7 @@
 //! here either. Any scheduler can tell it; it tells those that are behind.
 
 use super::Executor;
-use crate::dispatch::zones::ZoneWord;
+use crate::dispatch::zones::ZoneRecord;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -18,15 +18,15 @@
         if let Some(session) = self.sessions.get_mut(owner) {
             session.zone_told = session.zone_told.max(state.revision);
         }
-        let word = ZoneWord::from_proto(state);
-        if word.revision <= self.zone_word.revision {
+        let record = ZoneRecord::from_proto(state);
+        if record.revision <= self.zone_record.revision {
             return;
         }
-        let before = std::mem::replace(&mut self.zone_word, word);
-        if before.evacuated == word.evacuated {
+        let before = std::mem::replace(&mut self.zone_record, record);
+        if before.evacuated == record.evacuated {
             return;
         }
-        if word.evacuated {
+        if record.evacuated {
             self.log(Kind::ZoneEvacuated, state.zone.clone());
             self.return_queue(now);
         } else {
@@ -37,6 +37,6 @@
 
     /// Whether this executor's zone is evacuated.
     pub fn is_evacuated(&self) -> bool {
-        self.zone_word.evacuated
+        self.zone_record.evacuated
     }
 }
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -81,10 +81,10 @@
         let crashed = crashed.collect();
         let claimed = claimed.iter().map(|job| job.0).collect();
         let denied = session.denied.drain(..).map(|j| j.0).collect();
-        let word = self.zone_word;
-        let news = word.revision > session.zone_told;
-        session.zone_told = session.zone_told.max(word.revision);
-        let zone = news.then(|| word.proto(&self.setup.zone));
+        let record = self.zone_record;
+        let news = record.revision > session.zone_told;
+        session.zone_told = session.zone_told.max(record.revision);
+        let zone = news.then(|| record.proto(&self.setup.zone));
         let slow = std::mem::take(&mut session.slow);
         let slow = slow.iter().filter_map(|task| slow_run(&self.runs, *task));
         let slow = slow.collect();
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -41,7 +41,7 @@
     pub list_held: bool,
     /// The edition of the profile that was last sent on this link; 0 for none.
     pub profile_told: u64,
-    /// The revision of the word on the own zone that was sent or came on this link.
+    /// The revision of the record of the own zone that was sent or came on this link.
     pub zone_told: u64,
 }
 
--- a/lib/src/dispatch/scheduler/evacuations.rs
+++ b/lib/src/dispatch/scheduler/evacuations.rs
@@ -10,7 +10,7 @@
 use super::fleet::ExecutorKey;
 use super::jobs::Phase;
 use crate::dispatch::model::JobNumber;
-use crate::dispatch::zones::ZoneWord;
+use crate::dispatch::zones::ZoneRecord;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -26,9 +26,9 @@
     }
 
     /// The store tells of one zone.
-    pub fn set_evacuation(&mut self, now: Mono, zone: &str, word: ZoneWord) {
+    pub fn set_evacuation(&mut self, now: Mono, zone: &str, record: ZoneRecord) {
         self.enter(now);
-        self.note_zone(zone, word, "the store");
+        self.note_zone(zone, record, "the store");
     }
 
     /// The zones that are evacuated, as far as it is known here.
@@ -38,11 +38,11 @@
 
     /// A peer or an executor tells of a zone.
     pub(super) fn hear_of_zone(&mut self, state: &proto::ZoneState, origin: &str) {
-        self.note_zone(&state.zone, ZoneWord::from_proto(state), origin);
+        self.note_zone(&state.zone, ZoneRecord::from_proto(state), origin);
     }
 
-    fn note_zone(&mut self, zone: &str, word: ZoneWord, origin: &str) {
-        if self.zones.note(zone, word) {
+    fn note_zone(&mut self, zone: &str, record: ZoneRecord, origin: &str) {
+        if self.zones.note(zone, record) {
             self.zone_changed(zone, origin);
         }
         self.zones_noted();
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -72,7 +72,7 @@
     pub slow: bool,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
-    /// The revision of the word on its zone that it was told on this link, or has told.
+    /// The revision of the record of its zone that it was told on this link, or has told.
     pub zone_told: u64,
     /// While an executor that was started anew has not met its worker: when what its forerunner
     /// had started can not run any more at the latest.
@@ -154,10 +154,10 @@
             true => self.policy.cells.heartbeat,
             false => self.policy.reports.heartbeat,
         };
-        let word = zones.word(&self.zone);
-        let word = word.filter(|w| w.revision > self.zone_told);
+        let record = zones.record(&self.zone);
+        let record = record.filter(|r| r.revision > self.zone_told);
         let due = urgent
-            || word.is_some()
+            || record.is_some()
             || (self.told_standby && !self.standby)
             || (claims && gap >= self.policy.reports.claim_gap)
             || gap >= heartbeat;
@@ -169,9 +169,9 @@
             self.sequence += 1;
             orders.sequence = self.sequence;
         }
-        if let Some(word) = word {
-            self.zone_told = word.revision;
-            orders.zone = Some(word.proto(&self.zone));
+        if let Some(record) = record {
+            self.zone_told = record.revision;
+            orders.zone = Some(record.proto(&self.zone));
         }
         orders.standby = self.standby;
         self.told_standby = self.standby;
--- a/lib/src/dispatch/zones/tests.rs
+++ b/lib/src/dispatch/zones/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn word(revision: u64, evacuated: bool) -> ZoneWord {
-    ZoneWord {
+fn record(revision: u64, evacuated: bool) -> ZoneRecord {
+    ZoneRecord {
         revision,
         evacuated,
     }
@@ -16,13 +16,16 @@
 #[test]
 fn test_zones_newer_word_holds_whatever_order_they_come_in() {
     let mut zones = Zones::default();
-    assert!(zones.note("a", word(5, true)));
-    assert!(!zones.note("a", word(3, false)), "an old reading");
+    assert!(zones.note("a", record(5, true)));
+    assert!(!zones.note("a", record(3, false)), "an old reading");
     assert!(zones.is_evacuated("a"));
-    assert!(zones.note("a", word(8, false)));
-    assert!(!zones.note("a", word(5, true)), "the same word once more");
+    assert!(zones.note("a", record(8, false)));
+    assert!(
+        !zones.note("a", record(5, true)),
+        "the same record once more"
+    );
     assert!(!zones.is_evacuated("a"));
-    assert!(zones.note("a", word(9, true)), "evacuated a second time");
+    assert!(zones.note("a", record(9, true)), "evacuated a second time");
 }
 
 #[test]
@@ -32,17 +35,20 @@
     assert_eq!(zones.evacuated().collect::<Vec<_>>(), ["a", "b"]);
     let changed = zones.note_list(&listed(&[("b", 6)]), 12);
     assert_eq!(changed, ["a"]);
-    assert!(!zones.note("a", word(4, true)), "by a peer that is behind");
+    assert!(
+        !zones.note("a", record(4, true)),
+        "by a peer that is behind"
+    );
     assert_eq!(zones.evacuated().collect::<Vec<_>>(), ["b"]);
 }
 
 #[test]
 fn test_zones_old_list_undoes_nothing() {
     let mut zones = Zones::default();
-    zones.note("a", word(20, true));
+    zones.note("a", record(20, true));
     assert_eq!(zones.note_list(&listed(&[]), 15), Vec::<String>::new());
     assert!(zones.is_evacuated("a"));
-    zones.note("a", word(25, false));
+    zones.note("a", record(25, false));
     assert_eq!(
         zones.note_list(&listed(&[("a", 20)]), 22),
         Vec::<String>::new()
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -160,7 +160,7 @@
 pub struct ZoneState {
     #[prost(string, tag = "1")]
     pub zone: ::prost::alloc::string::String,
-    /// The store's revision of this word. Of two the one with the higher revision holds.
+    /// The store's revision of it. Of two the one with the higher revision holds.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
     /// Nothing more is started there.
--- a/lib/tests/runner/test_scheduler/evacuations.rs
+++ b/lib/tests/runner/test_scheduler/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use stackcourse_lib::dispatch::zones::ZoneWord;
+use stackcourse_lib::dispatch::zones::ZoneRecord;
 
 use super::*;
 
@@ -44,7 +44,7 @@
     }
 
     fn word(&mut self, zone: &str, revision: u64, evacuated: bool) {
-        let word = ZoneWord {
+        let word = ZoneRecord {
             revision,
             evacuated,
         };
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -27,7 +27,7 @@
 use stackcourse_lib::dispatch::scheduler::CallerId;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
 use stackcourse_lib::dispatch::scheduler::SchedulerSetup;
-use stackcourse_lib::dispatch::zones::ZoneWord;
+use stackcourse_lib::dispatch::zones::ZoneRecord;
 use stackcourse_lib::prelude::Duration;
 use stackcourse_lib::prelude::LinkId;
 use stackcourse_lib::prelude::Mono;
@@ -90,7 +90,7 @@
     /// The time of a scheduler that leaves is up.
     Ended(usize, u64),
     /// The store tells a scheduler of a zone.
-    Zone(usize, u64, String, ZoneWord),
+    Zone(usize, u64, String, ZoneRecord),
     /// A run takes down a life of a worker, if it is still there.
     Crash(usize, String, RunName),
     /// A worker that has crashed comes back.
--- a/lib/testutils/src/dispatch/world/evacuations.rs
+++ b/lib/testutils/src/dispatch/world/evacuations.rs
@@ -47,7 +47,7 @@
         } else {
             self.evacuations.zones.remove(zone);
         }
-        let word = ZoneWord {
+        let word = ZoneRecord {
             revision,
             evacuated,
         };
@@ -88,7 +88,7 @@
         }
     }
 
-    pub(super) fn tell_zone(&mut self, n: usize, life: u64, zone: &str, word: ZoneWord) {
+    pub(super) fn tell_zone(&mut self, n: usize, life: u64, zone: &str, word: ZoneRecord) {
         if self.life(Node::Scheduler(n)) == life && self.evacuations.serves(n) {
             self.with_scheduler(n, |s, now| s.set_evacuation(now, zone, word));
         }
