log_sink: what is gathered before it is written is bounded

The writer thread gathers lines until the queue is empty before it writes; beside load the sender is as slow as that, so the queue never filled, and what was gathered grew without a bound.

Ruled out: the test's own time (the lines were all sent before the reader was let go).

Change: at most a quarter of the queue is gathered.

--- a/lib/daemon/src/dispatch/log_sink.rs
+++ b/lib/daemon/src/dispatch/log_sink.rs
@@ -27,6 +27,9 @@
 const WARN_BUDGET: u32 = 300;
 /// Lines are gathered for this long before they are written.
 const GATHER: Duration = Duration::from_millis(100);
+/// At most so many lines are gathered, a quarter of the queue. Without a bound the writer took lines for as long as
+/// they came, before it had written any, and none was counted as left out.
+const GATHERED: usize = QUEUE / 4;
 
 #[derive(Debug, Default)]
 struct Budget {
@@ -128,7 +131,7 @@
     while let Ok(first) = queue.recv() {
         let mut text = first;
         std::thread::sleep(GATHER);
-        while let Ok(more) = queue.try_recv() {
+        for more in queue.try_iter().take(GATHERED - 1) {
             text.push_str(&more);
         }
         if out.write_all(text.as_bytes()).is_err() {
