--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -139,6 +139,20 @@
     }
 }
 
+/// An agent that was killed while its worker's room shrank goes by the room that it had left in the store.
+#[test]
+fn test_dispatch_run_keeps_the_room_of_a_worker_that_is_recalled() {
+    let report = run::run_plan(RunPlan {
+        seed: 6434,
+        span: SPAN,
+        resizing: true,
+        leaving: true,
+        suspensions: Suspensions::Counted,
+        ..RunPlan::default()
+    });
+    assert_eq!(report.violation, None);
+}
+
 fn run_suspended(seed: u64, suspensions: Suspensions) -> RunReport {
     run::run_plan(RunPlan {
         seed,
