executor: tell of ends that are passed over, and which life a heartbeat is of

Cause: the logs could not tell apart whether a worker's counts had started anew under its id, or its heartbeat had been taken note of and starts went on. What ended was passed over without a trace, and nothing told two lives of one id apart. Change: `born` is read from heartbeats and lists (optional, as older workers do not say it) and stands in SC420, SC422 and SC426; SC427 and the counter ends_passed tell of each end that is passed over while its run is still here. No decision is changed. Logic is as it was.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -178,6 +178,7 @@
         ("returned", counts.returned),
         ("leases_over", counts.lapsed),
         ("strangers", counts.strangers),
+        ("ends_passed", counts.ends_passed),
         ("heartbeats_rejected", counts.beats_rejected),
         ("log_lines_dropped", process.dropped),
     ];
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -40,6 +40,7 @@
 pub use crate::dispatch::executor::calls::FinishedRow;
 pub use crate::dispatch::executor::calls::HoldCall;
 pub use crate::dispatch::executor::calls::HoldReply;
+pub use crate::dispatch::executor::calls::Life;
 pub use crate::dispatch::executor::calls::OrderReply;
 pub use crate::dispatch::executor::calls::RunName;
 pub use crate::dispatch::executor::calls::RunningRow;
@@ -120,6 +121,8 @@
     pub lapsed: u64,
     /// Runs found at the worker that nobody here had started.
     pub strangers: u64,
+    /// Ends of runs that are here still, passed over since ends with higher numbers had been taken note of.
+    pub ends_passed: u64,
     /// Heartbeats that could not be read, or were not of the worker's life.
     pub beats_rejected: u64,
 }
@@ -302,7 +305,7 @@
     }
 
     fn life(&self) -> String {
-        let life = self.worker.as_ref().map(|w| w.beat.life.clone());
+        let life = self.worker.as_ref().map(|w| w.beat.life.id.clone());
         life.unwrap_or_default()
     }
 
@@ -347,7 +350,7 @@
         if let Some(life) = self.lives.asked() {
             return self.list_only(life);
         }
-        let (life, seen) = (worker.beat.life.clone(), worker.seen);
+        let (life, seen) = (worker.beat.life.id.clone(), worker.seen);
         let (deadline_ms, wait) = if worker.clean && worker.answers {
             (self.deadline(now, self.setup.worker_hold), self.hold_wait())
         } else {
@@ -379,7 +382,7 @@
         if self.vacant && self.recalled.is_none() {
             return;
         }
-        let life = self.recalled.as_ref().map(|beat| beat.life.clone());
+        let life = self.recalled.as_ref().map(|beat| beat.life.id.clone());
         let life = life.unwrap_or_default();
         self.list_only(life);
     }
--- a/lib/src/dispatch/executor/calls.rs
+++ b/lib/src/dispatch/executor/calls.rs
@@ -1,5 +1,6 @@
 //! What passes between an executor and its worker, in terms that know nothing of how it travels.
 
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,11 +10,32 @@
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::TaskName;
 
+/// One life of a worker, from its start to its end.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// The name under which the worker takes calls.
+    #[serde(rename = "life")]
+    pub id: String,
+    /// When it started, in milliseconds since 1970 by the worker's clock; none if it does not say.
+    #[serde(default)]
+    pub born: Option<u64>,
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(f, "{}, born {born}", self.id),
+            None => f.write_str(&self.id),
+        }
+    }
+}
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerBeat {
-    /// The id of its present life.
-    pub life: String,
+    /// Its present life.
+    #[serde(flatten)]
+    pub life: Life,
     /// The service it works for.
     pub service: String,
     /// Whether it is leaving.
@@ -149,6 +171,8 @@
 pub enum HoldReply {
     /// The worker's lists.
     Lists {
+        /// When the life that answers started, in milliseconds since 1970; none if it does not say.
+        born: Option<u64>,
         /// Its clock, in milliseconds.
         clock_ms: u64,
         /// What runs.
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -46,6 +46,7 @@
                 clock_ms,
                 running,
                 finished,
+                ..
             } => self.read_lists(now, clock_ms, &running, finished),
             HoldReply::Fenced => self.raise_fence(),
             HoldReply::WrongLife | HoldReply::NoAnswer | HoldReply::Unreachable => {
@@ -58,7 +59,7 @@
     /// Whether a hold was meant for the life of the worker that an earlier life of this process
     /// knew.
     fn is_recalled(&self, life: &str) -> bool {
-        let same = |beat: &WorkerBeat| beat.life == life;
+        let same = |beat: &WorkerBeat| beat.life.id == life;
         self.worker.is_none() && self.recalled.as_ref().is_some_and(same)
     }
 
@@ -188,10 +189,11 @@
     }
 
     fn read_end(&mut self, now: Mono, row: FinishedRow) {
+        let seen = self.worker.as_ref().map_or(0, |w| w.seen);
+        if row.number <= seen {
+            return self.pass_end(&row, seen);
+        }
         if let Some(worker) = &mut self.worker {
-            if row.number <= worker.seen {
-                return;
-            }
             worker.seen = row.number;
         }
         let Some(run) = self.runs.get(&row.run.task) else {
@@ -210,6 +212,19 @@
         self.finish_run(now, row.run.task, kind, row.checkpoint);
     }
 
+    /// Passes over an end that was taken note of before, by its number. The run of one can't be here still.
+    fn pass_end(&mut self, row: &FinishedRow, seen: u64) {
+        let known = self.runs.get(&row.run.task);
+        if known.is_some_and(|run| run.run == row.run.run) {
+            self.counts.ends_passed += 1;
+            let detail = format!(
+                "{} run {}: number {}, after {seen}",
+                row.run.task, row.run.run, row.number
+            );
+            self.log(Kind::EndPassed, detail);
+        }
+    }
+
     fn learn(&mut self, now: Mono, row: &FinishedRow, kind: EndKind) {
         let run = &self.runs[&row.run.task];
         let (job, ratio) = (row.run.task.job, run.ratio(now));
--- a/lib/src/dispatch/executor/lives.rs
+++ b/lib/src/dispatch/executor/lives.rs
@@ -44,7 +44,9 @@
 
     /// The life to ask the worker about, if there is one.
     pub fn asked(&self) -> Option<String> {
-        self.candidate.as_ref().map(|(beat, _)| beat.life.clone())
+        self.candidate
+            .as_ref()
+            .map(|(beat, _)| beat.life.id.clone())
     }
 
     /// Whether the worker has not been asked about another life yet, which does not wait for its next hold.
@@ -55,7 +57,7 @@
     }
 
     fn is_asked(&self, life: &str) -> bool {
-        let same = |(beat, _): &(WorkerBeat, u32)| beat.life == life;
+        let same = |(beat, _): &(WorkerBeat, u32)| beat.life.id == life;
         self.candidate.as_ref().is_some_and(same)
     }
 }
@@ -94,9 +96,9 @@
     /// Takes note of what the worker says of itself.
     pub fn beat(&mut self, now: Mono, beat: WorkerBeat) {
         match &self.worker {
-            None if self.lives.is_past(&beat.life) => self.recall(now, beat),
+            None if self.lives.is_past(&beat.life.id) => self.recall(now, beat),
             None => self.begin_life(now, beat),
-            Some(worker) if worker.beat.life != beat.life => self.ask_life(beat),
+            Some(worker) if worker.beat.life.id != beat.life.id => self.ask_life(beat),
             Some(_) => self.beat_again(now, beat),
         }
         self.work(now);
@@ -108,10 +110,10 @@
             return;
         };
         let before = worker.beat.clone();
-        let sequence = beat.sequence;
+        let (life, sequence) = (beat.life.clone(), beat.sequence);
         if !worker.take_beat(now, beat, heartbeat) {
             let detail = format!(
-                "{} number {sequence}, after {}",
+                "{life} number {sequence}; {} number {}",
                 before.life, before.sequence
             );
             return self.reject_beat(detail);
@@ -198,7 +200,7 @@
         let detail = format!("{} of {}", beat.life, beat.service);
         self.log(Kind::WorkerUp, detail);
         if beat.draining {
-            self.log(Kind::WorkerDraining, beat.life.clone());
+            self.log(Kind::WorkerDraining, beat.life.to_string());
         }
         self.health = Health::new(self.setup.policy.health);
         self.unclean_since = now;
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -206,7 +206,7 @@
             };
         };
         proto::Profile {
-            worker: worker.beat.life.clone(),
+            worker: worker.beat.life.id.clone(),
             service: worker.beat.service.clone(),
             capacity: Some(worker.beat.capacity.proto()),
             labels: worker.beat.labels.clone(),
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -102,6 +102,7 @@
     WorkerSilent = 424, Warn, "the worker does not answer";
     WorkerAnswers = 425, Info, "the worker answers again";
     BadBeat = 426, Warn, "a heartbeat can't be read or is not of the worker beside; it changes nothing";
+    EndPassed = 427, Warn, "the worker lists the end of a run with a number that others had before; it is passed over";
     StartUnanswered = 430, Warn, "a start got no answer; its run is stopped before anything else";
     StartRefused = 431, Info, "the worker refused a start";
     FenceRaised = 432, Warn, "the worker had seen a higher fencing token; a higher one is used";
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -17,6 +17,7 @@
 use stackcourse_lib::dispatch::executor::ExecutorSetup;
 use stackcourse_lib::dispatch::executor::FinishedRow;
 use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::Life;
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::RunningRow;
@@ -80,7 +81,7 @@
 
     fn beat(&mut self, life: &str, draining: bool, sequence: u64) {
         let beat = WorkerBeat {
-            life: life.to_owned(),
+            life: life_of(life),
             service: "s".to_owned(),
             draining,
             capacity: Demand {
@@ -103,6 +104,7 @@
     fn lists_at(&mut self, percent: u32, running: &[RunName], finished: Vec<FinishedRow>) {
         let row = |run: &RunName| RunningRow { run: *run, percent };
         let reply = HoldReply::Lists {
+            born: None,
             clock_ms: 1000 + self.now.0 / 1000,
             running: running.iter().map(row).collect(),
             finished,
@@ -215,6 +217,14 @@
     }
 }
 
+/// A life of a worker that does not say when it started.
+fn life_of(id: &str) -> Life {
+    Life {
+        id: id.to_owned(),
+        born: None,
+    }
+}
+
 fn run(job: u64, index: u32, run: u32) -> RunName {
     RunName {
         task: TaskName {
--- a/lib/tests/runner/test_executor/lives.rs
+++ b/lib/tests/runner/test_executor/lives.rs
@@ -12,7 +12,7 @@
 
     fn beat_of(&mut self, service: &str, sequence: u64) {
         let beat = WorkerBeat {
-            life: "w1".to_owned(),
+            life: life_of("w1"),
             service: service.to_owned(),
             capacity: Demand {
                 cpu_milli: 2000,
@@ -33,6 +33,14 @@
         self.orders(ONE, proto::Orders::default());
     }
 
+    /// A task of a job is sent to the worker, which confirms that it runs.
+    fn begin(&mut self, job: u64) {
+        self.start(ONE, job, &[0]);
+        let reply = OrderReply::Done(1);
+        self.executor.started(self.now, run(job, 0, 1), reply);
+        self.take();
+    }
+
     fn last_profile(&self) -> proto::Profile {
         let updates = self.updates(ONE).into_iter();
         updates
@@ -178,3 +186,19 @@
     bench.live();
     assert!(!bench.is_ready(), "a worker that leaves does not come back");
 }
+
+/// An end that is passed over by its number, while its run is here still, leaves a trace.
+#[test]
+fn test_executor_tells_of_an_end_that_is_passed_over() {
+    let mut bench = Bench::ready();
+    bench.begin(1);
+    bench.lists(&[], vec![finished(9, run(1, 0, 1), WorkerEnd::Done)]);
+    bench.begin(2);
+    bench.lists(
+        &[run(2, 0, 1)],
+        vec![finished(2, run(2, 0, 1), WorkerEnd::Done)],
+    );
+    let told = |a: &Action| matches!(a, Action::Log(e) if e.kind == Kind::EndPassed);
+    assert!(bench.actions.iter().any(told));
+    assert_eq!(bench.executor.counts().ends_passed, 1);
+}
--- a/lib/tests/runner/test_executor/recall.rs
+++ b/lib/tests/runner/test_executor/recall.rs
@@ -7,11 +7,12 @@
 
 use super::Bench;
 use super::ONE;
+use super::life_of;
 use super::run;
 
 fn beat(life: &str) -> WorkerBeat {
     WorkerBeat {
-        life: life.to_owned(),
+        life: life_of(life),
         service: "s".to_owned(),
         capacity: Demand {
             cpu_milli: 2000,
--- a/lib/tests/runner/test_executor/worker.rs
+++ b/lib/tests/runner/test_executor/worker.rs
@@ -162,7 +162,7 @@
     /// The worker says that it has room for so many tasks.
     fn resize(&mut self, room: u32, sequence: u64) {
         let beat = WorkerBeat {
-            life: "w1".to_owned(),
+            life: life_of("w1"),
             service: "s".to_owned(),
             draining: false,
             capacity: Demand {
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -196,6 +196,7 @@
             }
         };
         HoldReply::Lists {
+            born: None,
             clock_ms: now / 1000,
             running: self.running.iter().map(row).collect(),
             finished: self.finished.clone(),
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use stackcourse_lib::dispatch::executor::HoldCall;
 use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::Life;
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
@@ -138,7 +139,10 @@
             return;
         }
         let beat = WorkerBeat {
-            life: worker.life.clone(),
+            life: Life {
+                id: worker.life.clone(),
+                born: None,
+            },
             service: SERVICE.to_owned(),
             draining: worker.draining,
             capacity: Demand {
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -365,6 +365,7 @@
         clock_ms,
         running,
         finished,
+        ..
     } = reply
     else {
         return match reply {
