tests: a worker that starts again under its id, red

Cause shown: counts of one life are compared with those of another. On the executor alone a task is started after the restarted worker has said that it leaves, and the end numbered 1 is passed over.

--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod lives;
 mod recall;
+mod restarts;
 mod slow;
 mod standby;
 mod worker;
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -58,6 +58,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also ask schedulers to leave, and start them again"),
         )
+        .arg(
+            Arg::new("reborn")
+                .long("reborn")
+                .action(ArgAction::SetTrue)
+                .help("Let workers that have crashed come up under the id that they had"),
+        )
         .arg(
             Arg::new("suspend")
                 .long("suspend")
@@ -93,6 +99,7 @@
             resizing: matches.get_flag("resizing"),
             evacuating: matches.get_flag("evacuating"),
             leaving: matches.get_flag("leaving"),
+            reborn: matches.get_flag("reborn"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -81,6 +81,8 @@
     pub evacuating: bool,
     /// Whether schedulers are asked to leave, and are started again.
     pub leaving: bool,
+    /// Whether workers that have crashed come up under the id that they had.
+    pub reborn: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -106,6 +108,9 @@
         policy(plan.cell),
     );
     world.trace = plan.trace;
+    if plan.reborn {
+        world.keep_worker_ids();
+    }
     let span = plan.span;
     world.run(Duration::from_millis(3500));
     let faults = world.rng.random_range(0.0..0.12);
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -7,6 +7,7 @@
 use stackcourse_lib::dispatch::executor::FinishedRow;
 use stackcourse_lib::dispatch::executor::HoldCall;
 use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::Life;
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::RunningRow;
@@ -40,8 +41,12 @@
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerModel {
-    /// Its id.
-    pub life: String,
+    /// Which life of the worker it is.
+    pub life: Life,
+    /// When its clock stood at nothing, in microseconds of the world's clock.
+    clock_zero: u64,
+    /// How often it has said what it is and has.
+    pub beats: u64,
     /// What it has, in thousandths of a core.
     pub capacity: u32,
     /// When it last had more, and how much.
@@ -67,9 +72,11 @@
 
 impl WorkerModel {
     /// A worker that has just come up.
-    pub fn new(life: String, capacity: u32) -> WorkerModel {
+    pub fn new(life: Life, capacity: u32) -> WorkerModel {
         WorkerModel {
             life,
+            clock_zero: 0,
+            beats: 0,
             capacity,
             shrunk: None,
             up: true,
@@ -86,6 +93,11 @@
         }
     }
 
+    /// The same, with a clock that stands at nothing at this time, in microseconds of the world's clock.
+    pub fn with_clock(self, clock_zero: u64) -> WorkerModel {
+        WorkerModel { clock_zero, ..self }
+    }
+
     /// Gives it more or less room. What runs stays.
     pub fn resize(&mut self, now: u64, capacity: u32) {
         if capacity < self.capacity {
@@ -104,11 +116,21 @@
 
     /// Whether a call that names a life, or none, is for this one.
     fn is_meant(&self, life: &str) -> bool {
-        life.is_empty() || life == self.life
+        life.is_empty() || life == self.life.id
+    }
+
+    /// Its clock, in milliseconds.
+    pub fn clock_ms(&self, now: u64) -> u64 {
+        (now - self.clock_zero) / 1000
+    }
+
+    /// When its clock stands at so many milliseconds.
+    fn at_clock(&self, ms: u64) -> u64 {
+        self.clock_zero + ms * 1000
     }
 
     fn extend(&mut self, now: u64, deadline_ms: u64) {
-        let until = (deadline_ms * 1000).min(now + MOST_HELD_US);
+        let until = self.at_clock(deadline_ms).min(now + MOST_HELD_US);
         self.held_until = self.held_until.max(until);
     }
 
@@ -120,20 +142,20 @@
         work_us: u64,
         fails: bool,
     ) -> (OrderReply, bool) {
-        if call.life != self.life {
+        if call.life != self.life.id {
             return (OrderReply::WrongLife, false);
         }
         if call.fence < self.fence {
             return (OrderReply::Refused(StartRefusal::Fence), false);
         }
         self.fence = call.fence;
-        if call.deadline_ms > 0 && call.deadline_ms * 1000 < now {
+        if call.deadline_ms > 0 && self.at_clock(call.deadline_ms) < now {
             return (OrderReply::Refused(StartRefusal::Late), false);
         }
         self.extend(now, call.deadline_ms);
         let RunName { task, run } = call.run;
         if self.running.get(&task).is_some_and(|r| r.run == run) {
-            return (OrderReply::Done(now / 1000), false);
+            return (OrderReply::Done(self.clock_ms(now)), false);
         }
         let old = self.above.get(&task).is_some_and(|n| run <= *n);
         if old || self.running.contains_key(&task) {
@@ -149,7 +171,7 @@
         };
         self.begun += 1;
         self.running.insert(task, begun);
-        (OrderReply::Done(now / 1000), true)
+        (OrderReply::Done(self.clock_ms(now)), true)
     }
 
     /// Carries out a stop.
@@ -168,7 +190,7 @@
         {
             run.stopping.get_or_insert(now + STOP_US);
         }
-        OrderReply::Done(now / 1000)
+        OrderReply::Done(self.clock_ms(now))
     }
 
     /// Carries out a hold.
@@ -196,8 +218,8 @@
             }
         };
         HoldReply::Lists {
-            born: None,
-            clock_ms: now / 1000,
+            born: self.life.born,
+            clock_ms: self.clock_ms(now),
             running: self.running.iter().map(row).collect(),
             finished: self.finished.clone(),
         }
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -63,6 +63,8 @@
 const CRASH_US: u64 = 10_000;
 /// The worker is back after this long, in microseconds.
 const CRASH_AWAY_US: u64 = 3_000_000;
+/// A heartbeat may be held up for this long, in microseconds.
+const HELD_UP_US: u64 = 4_000_000;
 /// Workers' lists are looked at this often while a hold waits, in microseconds.
 const POLL_US: u64 = 1_000;
 
@@ -74,8 +76,8 @@
     Closed(LinkId, Node),
     Dial(Node, Node, u64),
     Beat(usize),
-    Start(usize, u64, StartCall, bool),
-    Stop(usize, u64, String, RunName, u64, bool),
+    Start(usize, u64, StartCall, Order),
+    Stop(usize, u64, String, RunName, u64, Order),
     Hold(usize, u64, HoldCall, u64),
     Started(usize, u64, RunName, OrderReply),
     Stopped(usize, u64, RunName, OrderReply),
@@ -95,6 +97,17 @@
     Crash(usize, String, RunName),
     /// A worker that has crashed comes back.
     Back(usize),
+    /// A heartbeat of a life of a worker that is over arrives.
+    LateBeat(usize, WorkerBeat),
+}
+
+/// How an order goes to a worker.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    /// Whether it gets no answer, and is carried out late.
+    late: bool,
+    /// When the life that it was sent to began. One that the worker was started after has gone with that life.
+    born: Option<u64>,
 }
 
 fn executor_name(number: usize) -> String {
@@ -147,6 +160,8 @@
     pub policy: Policy,
     /// Whether log lines and what happens at the workers are printed.
     pub trace: bool,
+    /// Whether a worker that has crashed comes up under the id that it had.
+    reborn: bool,
     /// How many availability zones the processes are spread over, in turn.
     zones: usize,
     schedulers: Vec<SchedulerNode>,
@@ -200,6 +215,7 @@
             steps: 0,
             answers: Vec::new(),
             trace: false,
+            reborn: false,
             schedulers: Vec::new(),
             executors: Vec::new(),
             kept: vec![None; executors],
@@ -209,7 +225,7 @@
             lives: 0,
         };
         for number in 0..executors {
-            let worker = world.new_worker();
+            let worker = world.new_worker(number);
             world.workers.push(worker);
             let node = world.new_executor(number);
             world.executors.push(node);
@@ -227,6 +243,14 @@
         world
     }
 
+    /// From now on a worker that has crashed comes up under the id that it had, and counts anew.
+    pub fn keep_worker_ids(&mut self) {
+        self.reborn = true;
+        for number in 0..self.workers.len() {
+            self.workers[number] = self.new_worker(number);
+        }
+    }
+
     fn nodes(&self) -> Vec<Node> {
         let schedulers = (0..self.schedulers.len()).map(Node::Scheduler);
         let executors = (0..self.executors.len()).map(Node::Executor);
@@ -300,9 +324,9 @@
             Due::Closed(link, node) => self.closed(link, node),
             Due::Dial(from, to, life) => self.dial(from, to, life),
             Due::Beat(number) => self.beat(number),
-            Due::Start(n, life, call, late) => self.start(n, life, &call, late),
-            Due::Stop(n, life, worker, run, fence, late) => {
-                self.stop(n, life, &worker, run, fence, late);
+            Due::Start(n, life, call, order) => self.start(n, life, &call, order),
+            Due::Stop(n, life, worker, run, fence, order) => {
+                self.stop(n, life, &worker, run, fence, order);
             }
             Due::Hold(n, life, call, until) => self.hold(n, life, call, until),
             Due::Started(n, life, run, reply) => {
@@ -321,6 +345,7 @@
             Due::Zone(n, life, zone, word) => self.tell_zone(n, life, &zone, word),
             Due::Crash(n, life, run) => self.crash_under(n, &life, run),
             Due::Back(n) => self.worker_back(n),
+            Due::LateBeat(n, beat) => self.late_beat(n, beat),
         }
     }
 
@@ -373,20 +398,20 @@
                         let what = format!("{:?} in a zone known to be evacuated", call.run);
                         self.witness.break_promise(what);
                     }
-                    let (wait, late) = self.order_delay();
-                    if late {
+                    let (wait, order) = self.order_delay(n);
+                    if order.late {
                         let unanswered = Due::Started(n, life, call.run, OrderReply::NoAnswer);
                         self.at(ORDER_US, unanswered);
                     }
-                    self.at(wait, Due::Start(n, life, call, late));
+                    self.at(wait, Due::Start(n, life, call, order));
                 }
                 executor::Action::Stop(worker, run, fence) => {
-                    let (wait, late) = self.order_delay();
-                    if late {
+                    let (wait, order) = self.order_delay(n);
+                    if order.late {
                         let unanswered = Due::Stopped(n, life, run, OrderReply::NoAnswer);
                         self.at(ORDER_US, unanswered);
                     }
-                    self.at(wait, Due::Stop(n, life, worker, run, fence, late));
+                    self.at(wait, Due::Stop(n, life, worker, run, fence, order));
                 }
                 executor::Action::Hold(call) => {
                     let wait = call.wait.as_micros() as u64;
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -16,8 +16,10 @@
 use super::CRASH_AWAY_US;
 use super::CRASH_US;
 use super::Due;
+use super::HELD_UP_US;
 use super::HOLD_EXTRA_US;
 use super::ORDER_US;
+use super::Order;
 use super::POLL_US;
 use super::World;
 use crate::dispatch::callers::SERVICE;
@@ -25,16 +27,24 @@
 use crate::dispatch::worker::WorkerModel;
 
 impl World {
-    /// How long an order takes to the worker, and whether it counts as carried out late.
-    pub(super) fn order_delay(&mut self) -> (u64, bool) {
+    /// How long an order takes to a worker, and how it goes there.
+    pub(super) fn order_delay(&mut self, n: usize) -> (u64, Order) {
+        let born = self.workers[n].life.born;
         if self.rng.random_bool(self.late) {
-            (self.rng.random_range(2_000_000..12_000_000), true)
+            let order = Order { late: true, born };
+            (self.rng.random_range(2_000_000..12_000_000), order)
         } else {
-            (self.rng.random_range(100..800), false)
+            let order = Order { late: false, born };
+            (self.rng.random_range(100..800), order)
         }
     }
 
-    pub(super) fn start(&mut self, n: usize, life: u64, call: &StartCall, late: bool) {
+    /// Whether an order can reach the worker: it is up, and in the life that it was sent to.
+    fn reaches(&self, n: usize, order: Order) -> bool {
+        self.workers[n].up && self.workers[n].life.born == order.born
+    }
+
+    pub(super) fn start(&mut self, n: usize, life: u64, call: &StartCall, order: Order) {
         let task = call.run.task;
         let Some(job) = self.callers.jobs.get(&task.job) else {
             return self.witness.break_promise(format!("{task}: nobody's job"));
@@ -42,7 +52,7 @@
         let (work_us, poison) = (job.work_of(task.index), job.poison);
         let crashes = job.crashing == Some(task.index);
         let cpu = self.witness.jobs[&task.job].cpu;
-        let reply = if self.workers[n].up {
+        let reply = if self.reaches(n, order) {
             let now = self.now;
             let (reply, begun) = self.workers[n].start(now, call, work_us, poison);
             self.print(
@@ -53,14 +63,14 @@
                 self.note_start(n, call.run, cpu);
             }
             if begun && crashes {
-                let life = self.workers[n].life.clone();
+                let life = self.workers[n].life.id.clone();
                 self.at(CRASH_US, Due::Crash(n, life, call.run));
             }
             reply
         } else {
             OrderReply::Unreachable
         };
-        if late {
+        if order.late {
             // Whoever ordered it was told long ago that there is no answer.
             return;
         }
@@ -88,15 +98,15 @@
         worker: &str,
         run: RunName,
         fence: u64,
-        late: bool,
+        order: Order,
     ) {
         let now = self.now;
-        let reply = if self.workers[n].up {
+        let reply = if self.reaches(n, order) {
             self.workers[n].stop(now, worker, run, fence)
         } else {
             OrderReply::Unreachable
         };
-        if late {
+        if order.late {
             return;
         }
         let (wait, reply) = self.reply_delay(reply);
@@ -133,16 +143,21 @@
 
     pub(super) fn beat(&mut self, number: usize) {
         self.at(BEAT_US, Due::Beat(number));
-        let worker = &self.workers[number];
         let node = &self.executors[number];
-        if !worker.up || !node.up || node.frozen_until > self.now {
+        if !self.workers[number].up || !node.up || node.frozen_until > self.now {
             return;
         }
-        let beat = WorkerBeat {
-            life: Life {
-                id: worker.life.clone(),
-                born: None,
-            },
+        let life = node.life;
+        let beat = self.next_beat(number);
+        self.with_executor(number, life, |e, now| e.beat(now, beat));
+    }
+
+    /// What a worker says of itself now.
+    fn next_beat(&mut self, number: usize) -> WorkerBeat {
+        let worker = &mut self.workers[number];
+        worker.beats += 1;
+        WorkerBeat {
+            life: worker.life.clone(),
             service: SERVICE.to_owned(),
             draining: worker.draining,
             capacity: Demand {
@@ -151,10 +166,24 @@
                 gpu: 0,
             },
             labels: Vec::new(),
-            sequence: self.now,
-        };
-        let life = node.life;
-        self.with_executor(number, life, |e, now| e.beat(now, beat));
+            sequence: worker.beats,
+        }
+    }
+
+    /// A heartbeat of a life that is over was held up on the way.
+    fn hold_up_beat(&mut self, number: usize) {
+        let beat = self.next_beat(number);
+        let wait = self.rng.random_range(0..HELD_UP_US);
+        self.at(wait, Due::LateBeat(number, beat));
+    }
+
+    /// A heartbeat that was held up arrives, whoever listens there by now.
+    pub(super) fn late_beat(&mut self, number: usize, beat: WorkerBeat) {
+        let node = &self.executors[number];
+        if node.up && node.frozen_until <= self.now {
+            let life = node.life;
+            self.with_executor(number, life, |e, now| e.beat(now, beat));
+        }
     }
 
     /// Ends runs at workers that are over by then.
@@ -188,6 +217,9 @@
     pub fn crash_worker(&mut self, number: usize) {
         if self.workers[number].up {
             self.witness.crashed(self.workers[number].known_there());
+            if self.reborn {
+                self.hold_up_beat(number);
+            }
         }
         self.workers[number].up = false;
         self.workers[number].running.clear();
@@ -197,7 +229,7 @@
     pub(super) fn crash_under(&mut self, n: usize, life: &str, run: RunName) {
         let worker = &self.workers[n];
         let there = worker.running.get(&run.task).map(|r| r.run);
-        if !worker.up || worker.life != life || there != Some(run.run) {
+        if !worker.up || worker.life.id != life || there != Some(run.run) {
             return;
         }
         self.print(Node::Executor(n), &format!("worker: crash under {run:?}"));
@@ -213,7 +245,7 @@
         if old.up {
             return;
         }
-        let mut worker = self.new_worker();
+        let mut worker = self.new_worker(n);
         worker.capacity = old.capacity;
         worker.pace = old.pace;
         self.workers[n] = worker;
@@ -222,12 +254,23 @@
     /// A worker that had crashed is up again, in a new life.
     pub fn raise_worker(&mut self, number: usize) {
         if !self.workers[number].up {
-            self.workers[number] = self.new_worker();
+            self.workers[number] = self.new_worker(number);
         }
     }
 
-    pub(super) fn new_worker(&mut self) -> WorkerModel {
+    pub(super) fn new_worker(&mut self, number: usize) -> WorkerModel {
         let life = self.new_life();
-        WorkerModel::new(format!("w{life}"), CAPACITY)
+        if !self.reborn {
+            let id = format!("w{life}");
+            return WorkerModel::new(Life { id, born: None }, CAPACITY);
+        }
+        // A clock that was set back has let the later of two lives begin before the earlier one.
+        let id = format!("w-{number}");
+        let born = Some(if life.is_multiple_of(2) {
+            life
+        } else {
+            u64::MAX - life
+        });
+        WorkerModel::new(Life { id, born }, CAPACITY).with_clock(self.now)
     }
 }
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use stackcourse_lib::dispatch::executor::HoldCall;
 use stackcourse_lib::dispatch::executor::HoldReply;
+use stackcourse_lib::dispatch::executor::Life;
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunName;
 use stackcourse_lib::dispatch::executor::StartCall;
@@ -38,6 +39,8 @@
 const IN_FORCE_US: u64 = 8_000_000;
 /// Each so many heartbeats somebody else writes in the worker's place.
 const STRANGE_EVERY: u64 = 7;
+/// Workers start after this time, in milliseconds since 1970.
+const BORN_MS: u64 = 1_780_000_000_000;
 /// How often a worker beats.
 const BEAT: Duration = Duration::from_millis(200);
 /// How often a hold that waits looks for an end.
@@ -88,8 +91,15 @@
     }
 
     fn new_life(&mut self) -> WorkerModel {
+        let id = format!("i-{}", self.lives + 1);
+        self.life_under(id)
+    }
+
+    /// A worker that starts under an id, which may be one that it had.
+    fn life_under(&mut self, id: String) -> WorkerModel {
         self.lives += 1;
-        WorkerModel::new(format!("i-{}", self.lives), CAPACITY)
+        let born = Some(BORN_MS + self.now() / 1000);
+        WorkerModel::new(Life { id, born }, CAPACITY).with_clock(self.now() - 1000)
     }
 
     /// The time on the workers' clock, in microseconds.
@@ -103,6 +113,14 @@
         self.begin_anew(number);
     }
 
+    /// A worker crashes and comes up under the id that it had.
+    pub fn restart(&mut self, number: usize) {
+        self.advance();
+        self.witness.crashed(self.models[number].known_there());
+        let id = self.models[number].life.id.clone();
+        self.models[number] = self.life_under(id);
+    }
+
     fn begin_anew(&mut self, number: usize) {
         self.witness.crashed(self.models[number].known_there());
         self.models[number] = self.new_life();
@@ -210,11 +228,14 @@
     loop {
         sequence += 1;
         let (life, document) = {
-            let workers = desk.workers.lock().unwrap();
-            let model = &workers.models[desk.number];
+            let mut workers = desk.workers.lock().unwrap();
+            let now = workers.now();
+            let service = workers.service.clone();
+            let model = &mut workers.models[desk.number];
+            model.beats += 1;
             let state = if model.draining { "draining" } else { "ready" };
             let document = json!({
-                "service": workers.service,
+                "service": service,
                 "address": listen.to_string(),
                 "zone": "z",
                 "version": "v1",
@@ -223,10 +244,11 @@
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": model.capacity, "memMb": 65_536, "gpu": 0},
                 "labels": ["a", "r1"],
-                "clockMs": workers.now() / 1000,
-                "sequence": sequence,
+                "clockMs": model.clock_ms(now),
+                "sequence": model.beats,
+                "born": model.life.born,
             });
-            (model.life.clone(), document)
+            (model.life.id.clone(), document)
         };
         if sequence.is_multiple_of(STRANGE_EVERY) {
             let (life, body) = strange_beat(&life, &document, sequence / STRANGE_EVERY);
@@ -265,6 +287,7 @@
     named.unwrap_or_else(|| {
         desk.workers.lock().unwrap().models[desk.number]
             .life
+            .id
             .clone()
     })
 }
@@ -362,10 +385,10 @@
 
 fn hold_response(reply: HoldReply) -> HttpResponse {
     let HoldReply::Lists {
+        born,
         clock_ms,
         running,
         finished,
-        ..
     } = reply
     else {
         return match reply {
@@ -385,6 +408,7 @@
         })
         .collect();
     HttpResponse::Ok().json(json!({
+        "born": born,
         "clockMs": clock_ms,
         "running": running,
         "finished": finished,
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -153,6 +153,27 @@
     assert_eq!(report.violation, None);
 }
 
+/// Workers that come back under the id that they had, with all counts and the clock begun anew, and heartbeats of the lives
+/// before that arrive late. While their ends and heartbeats were taken for old ones, half of the seeds with tasks
+/// that crash workers never recovered: in 35, 37 and 40 not one of the jobs after all faults was complete.
+#[test]
+fn test_dispatch_run_recovers_when_workers_come_back_under_their_ids() {
+    let plain = [10, 15, 29].map(|seed| (seed, false));
+    let crashing = [26, 28, 33, 35, 37, 40].map(|seed| (seed, true));
+    for (seed, crashing) in plain.into_iter().chain(crashing) {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            reborn: true,
+            crashing,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        let recovered = report.recovered;
+        assert!(recovered >= run::RECOVERED, "seed {seed}: {recovered} %");
+    }
+}
+
 fn run_suspended(seed: u64, suspensions: Suspensions) -> RunReport {
     run::run_plan(RunPlan {
         seed,
