executor: a life of a worker is its id and its start

Cause: lives were told apart by the id alone. After a restart under the same id the new heartbeats were dropped as late, also the one that says that the worker leaves, though it was acknowledged; ends with numbers from 1 were taken for those taken note of, so whole runs counted as lost and ran again elsewhere. Ruled out: starts that were on their way (no SC422 before the start), a busy agent (no SC120). Change: a life is the id and `born`. Another one is believed once the worker answers in it, told by the start that the lists name, not by which is later, since clocks go back. Runs that the new lists show were begun after the restart: they go on, so that none is begun twice. Nothing is started while it is not known which life calls reach, nor in one that has not said what room it has. That a worker leaves counts also from a heartbeat that came late in its life. A word that an id has left ends no runs unless the worker had said that it leaves. A kept record of the life before is not taken up.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -134,8 +134,8 @@
 #[derive(Debug, Default)]
 struct Worker {
     beat: WorkerBeat,
-    /// When it last said what it is and has.
-    heard: Mono,
+    /// When it last said what it is and has; none in a life that only its lists have told of yet.
+    heard: Option<Mono>,
     /// Whether its lists have been read in this life, and nothing of an earlier executor runs.
     clean: bool,
     /// Whether it answered the last hold.
@@ -298,9 +298,9 @@
     fn ready(&self, now: Mono) -> bool {
         let beats = self.setup.policy.orders.room_beats;
         let age = self.setup.heartbeat.mul_f64(beats);
-        let known = |w: &Worker| now.since(w.heard) < age;
+        let known = |w: &Worker| w.heard.is_some_and(|at| now.since(at) < age);
         let ready = |w: &Worker| w.clean && w.answers && !w.beat.draining && known(w);
-        let open = !self.leaving && !self.zone_record.evacuated;
+        let open = !self.leaving && !self.zone_record.evacuated && !self.is_life_doubted();
         open && self.worker.as_ref().is_some_and(ready)
     }
 
--- a/lib/src/dispatch/executor/calls.rs
+++ b/lib/src/dispatch/executor/calls.rs
@@ -21,6 +21,14 @@
     pub born: Option<u64>,
 }
 
+impl Life {
+    /// Whether both are the same life. One that does not say when it started is told from others by its id alone.
+    pub fn is_same(&self, other: &Life) -> bool {
+        let born = self.born.zip(other.born);
+        self.id == other.id && born.is_none_or(|(one, two)| one == two)
+    }
+}
+
 impl fmt::Display for Life {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.born {
--- a/lib/src/dispatch/executor/crashes.rs
+++ b/lib/src/dispatch/executor/crashes.rs
@@ -84,14 +84,18 @@
         silent.unwrap_or(now)
     }
 
-    /// The worker has crashed: judges the tasks that ran there. A worker that was leaving has not crashed.
-    pub(super) fn judge_crash(&mut self, now: Mono) {
+    /// The worker has crashed: judges the tasks that ran there, but for those that are `kept`. A worker that was leaving
+    /// has not crashed.
+    pub(super) fn judge_crash(&mut self, now: Mono, kept: &[TaskName]) {
         if self.worker.as_ref().is_none_or(|w| w.beat.draining) {
             return;
         }
         let ended = self.alive_until(now);
         let there = |run: &Run| run.began <= ended && run.may_be_there();
-        let there = self.runs.iter().filter(|(_, run)| there(run));
+        let there = self
+            .runs
+            .iter()
+            .filter(|(task, run)| there(run) && !kept.contains(task));
         let names: Vec<TaskName> = there.map(|(task, _)| *task).collect();
         let lost = |task: &TaskName| LostRun {
             age: ended.since(self.runs[task].began),
@@ -161,12 +165,14 @@
 
     /// Writes down what was at the worker when its life, or what was kept alive in it, ended, and for how
     /// long each run had been there: a run that began just before, again and again, is the likely cause.
-    pub(super) fn log_lost(&mut self, now: Mono, cause: &str) {
-        if self.runs.is_empty() {
+    /// Those that are `kept` go on.
+    pub(super) fn log_lost(&mut self, now: Mono, cause: &str, kept: &[TaskName]) {
+        let ended = self.alive_until(now);
+        let lost = self.runs.iter().filter(|(task, _)| !kept.contains(task));
+        let mut runs: Vec<(&TaskName, &Run)> = lost.collect();
+        if runs.is_empty() {
             return;
         }
-        let ended = self.alive_until(now);
-        let mut runs: Vec<(&TaskName, &Run)> = self.runs.iter().collect();
         runs.sort_by_key(|(_, run)| ended.since(run.began));
         let lines = runs.iter().take(LISTED);
         let lines = lines.map(|(task, run)| run_in_words(**task, run, ended));
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -3,6 +3,7 @@
 use super::Executor;
 use super::FinishedRow;
 use super::HoldReply;
+use super::Life;
 use super::RunName;
 use super::RunState;
 use super::RunningRow;
@@ -35,12 +36,18 @@
                 self.probed(now, reply);
                 return self.work(now);
             }
-            if !matches!(reply, HoldReply::Lists { .. }) {
+            if !self.is_of_recalled_life(&reply) {
                 self.recall_failed(now, &reply);
                 return self.work(now);
             }
             self.begin_recalled(now);
         }
+        if let HoldReply::Lists { born, .. } = reply
+            && self.is_of_another_life(born)
+        {
+            let id = self.life();
+            self.meet_unheard(now, Life { id, born }, &reply);
+        }
         match reply {
             HoldReply::Lists {
                 clock_ms,
@@ -63,13 +70,25 @@
         self.worker.is_none() && self.recalled.as_ref().is_some_and(same)
     }
 
+    /// Whether the worker has answered in the life that was recalled.
+    fn is_of_recalled_life(&self, reply: &HoldReply) -> bool {
+        let (HoldReply::Lists { born, .. }, Some(beat)) = (reply, &self.recalled) else {
+            return false;
+        };
+        let born = *born;
+        let id = beat.life.id.clone();
+        beat.life.is_same(&Life { id, born })
+    }
+
     /// The worker is not in the life that was recalled, or has not answered yet.
     fn recall_failed(&mut self, now: Mono, reply: &HoldReply) {
         self.hold_at = now + self.setup.policy.orders.ask_again;
         match reply {
             HoldReply::Fenced => self.raise_fence(),
-            HoldReply::NoAnswer | HoldReply::Lists { .. } => {}
-            HoldReply::WrongLife | HoldReply::Unreachable => self.recalled = None,
+            HoldReply::NoAnswer => {}
+            HoldReply::Lists { .. } | HoldReply::WrongLife | HoldReply::Unreachable => {
+                self.recalled = None;
+            }
         }
     }
 
@@ -137,10 +156,10 @@
         let gone = *reply != HoldReply::NoAnswer && now.since(since) >= orders.gone_after;
         if gone || over {
             if gone {
-                self.judge_crash(now);
+                self.judge_crash(now, &[]);
             }
             let cause = if gone { GONE } else { LAPSED };
-            self.log_lost(now, cause);
+            self.log_lost(now, cause, &[]);
             self.forget_runs(now);
             self.return_queue(now);
         }
--- a/lib/src/dispatch/executor/lives.rs
+++ b/lib/src/dispatch/executor/lives.rs
@@ -3,12 +3,19 @@
 //! A heartbeat names the life it is of, and can arrive after that life is over, or come from somebody else. Another
 //! life than the present one is therefore believed once the worker has answered under it: taking the heartbeat's
 //! word ended what ran in the living one, and blamed a task there for a crash that had not been.
+//!
+//! A worker may start again under the id that it had, so a life is its id and its start together. All that a worker counts,
+//! its heartbeats, its ends and its clock, is counted within a life and compared with nothing of another one.
 
 use std::collections::VecDeque;
 
 use super::Action;
 use super::Executor;
+use super::FinishedRow;
 use super::HoldReply;
+use super::Life;
+use super::RunState;
+use super::RunningRow;
 use super::Worker;
 use super::WorkerBeat;
 use super::health::Health;
@@ -25,21 +32,21 @@
 #[derive(Debug, Default)]
 pub(super) struct Lives {
     /// Lives that are over, the oldest first.
-    past: VecDeque<String>,
+    past: VecDeque<Life>,
     /// What was said by another life, which the worker has not confirmed, and how often it was asked.
     candidate: Option<(WorkerBeat, u32)>,
 }
 
 impl Lives {
-    fn end(&mut self, life: &str) {
+    fn end(&mut self, life: Life) {
         if self.past.len() >= PAST_LIVES {
             self.past.pop_front();
         }
-        self.past.push_back(life.to_owned());
+        self.past.push_back(life);
     }
 
-    fn is_past(&self, life: &str) -> bool {
-        self.past.iter().any(|l| l == life)
+    fn is_past(&self, life: &Life) -> bool {
+        self.past.iter().any(|l| l.is_same(life))
     }
 
     /// The life to ask the worker about, if there is one.
@@ -56,10 +63,20 @@
             .is_some_and(|(_, asked)| *asked == 0)
     }
 
-    fn is_asked(&self, life: &str) -> bool {
-        let same = |(beat, _): &(WorkerBeat, u32)| beat.life.id == life;
+    fn is_asked(&self, id: &str) -> bool {
+        let same = |(beat, _): &(WorkerBeat, u32)| beat.life.id == id;
         self.candidate.as_ref().is_some_and(same)
     }
+
+    /// Takes what was said by another life. A later word of the same one stands.
+    fn ask(&mut self, beat: WorkerBeat) {
+        let later = |(known, _): &(WorkerBeat, u32)| {
+            known.life.is_same(&beat.life) && known.sequence > beat.sequence
+        };
+        if !self.candidate.as_ref().is_some_and(later) {
+            self.candidate = Some((beat, 0));
+        }
+    }
 }
 
 impl Worker {
@@ -68,14 +85,15 @@
         if self.used && beat.service != self.beat.service {
             return false;
         }
+        // A worker that leaves does not come back in the same life, so that this is true also of one that came late.
+        let draining = beat.draining || self.beat.draining;
+        self.beat.draining = draining;
         if beat.sequence < self.beat.sequence && !self.was_ahead(now, beat.sequence, heartbeat) {
             return false;
         }
         self.lower = None;
-        // A worker that leaves does not come back in the same life.
-        let draining = beat.draining || self.beat.draining;
         self.beat = WorkerBeat { draining, ..beat };
-        self.heard = now;
+        self.heard = Some(now);
         true
     }
 
@@ -88,7 +106,8 @@
             return false;
         };
         self.lower = Some((lower, at));
-        now.since(at) >= heartbeat / 2 && now.since(self.heard) >= heartbeat
+        let silent = self.heard.is_none_or(|at| now.since(at) >= heartbeat);
+        now.since(at) >= heartbeat / 2 && silent
     }
 }
 
@@ -96,9 +115,9 @@
     /// Takes note of what the worker says of itself.
     pub fn beat(&mut self, now: Mono, beat: WorkerBeat) {
         match &self.worker {
-            None if self.lives.is_past(&beat.life.id) => self.recall(now, beat),
+            None if self.lives.is_past(&beat.life) => self.recall(now, beat),
             None => self.begin_life(now, beat),
-            Some(worker) if worker.beat.life.id != beat.life.id => self.ask_life(beat),
+            Some(worker) if !worker.beat.life.is_same(&beat.life) => self.lives.ask(beat),
             Some(_) => self.beat_again(now, beat),
         }
         self.work(now);
@@ -109,21 +128,22 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        let before = worker.beat.clone();
+        let (before, first) = (worker.beat.clone(), worker.heard.is_none());
         let (life, sequence) = (beat.life.clone(), beat.sequence);
-        if !worker.take_beat(now, beat, heartbeat) {
+        let counts = worker.take_beat(now, beat, heartbeat);
+        let drains = worker.beat.draining && !before.draining;
+        let same = worker.beat.is_like(&before);
+        if !counts {
             let detail = format!(
                 "{life} number {sequence}; {} number {}",
                 before.life, before.sequence
             );
-            return self.reject_beat(detail);
+            self.reject_beat(detail);
         }
-        let drains = worker.beat.draining && !before.draining;
-        let same = worker.beat.is_like(&before);
         if !same {
             self.profile_changed();
         }
-        if !same || drains {
+        if !same || drains || first {
             self.keep_worker();
         }
         if drains {
@@ -143,23 +163,45 @@
         self.counts.beats_rejected += 1;
     }
 
-    /// Asks the worker whether it is in another life than the present one.
-    fn ask_life(&mut self, beat: WorkerBeat) {
-        self.lives.candidate = Some((beat, 0));
+    /// Whether a hold was meant for a life that the worker has not confirmed.
+    pub(super) fn is_candidate(&self, id: &str) -> bool {
+        self.worker.is_some() && self.lives.is_asked(id)
     }
 
-    /// Whether a hold was meant for a life that the worker has not confirmed.
-    pub(super) fn is_candidate(&self, life: &str) -> bool {
-        self.worker.is_some() && self.lives.is_asked(life)
+    /// Whether calls to the worker may reach another life than the present one, since both have the same id. What it
+    /// has room for is not known then.
+    pub(super) fn is_life_doubted(&self) -> bool {
+        self.is_candidate(&self.life())
+    }
+
+    /// Whether lists are of another life than the present one, by the start that they name.
+    pub(super) fn is_of_another_life(&self, born: Option<u64>) -> bool {
+        let answering = Life {
+            id: self.life(),
+            born,
+        };
+        let other = |worker: &Worker| !worker.beat.life.is_same(&answering);
+        self.worker.as_ref().is_some_and(other)
     }
 
-    /// The worker's answer to a question for another life. Returns the reply if it is of that life, which is the
+    /// The worker's answer to a question for another life. Returns the reply if it is of the life that is the
     /// present one from now on.
     pub(super) fn life_answered(&mut self, now: Mono, reply: HoldReply) -> Option<HoldReply> {
         let (beat, asked) = self.lives.candidate.take()?;
-        match reply {
-            HoldReply::Lists { .. } => {
-                self.begin_life(now, beat);
+        match &reply {
+            HoldReply::Lists { born, .. } => {
+                let answering = Life {
+                    id: beat.life.id.clone(),
+                    born: *born,
+                };
+                let present = self.worker.as_ref().map(|w| &w.beat.life);
+                if present.is_some_and(|life| life.is_same(&answering)) {
+                    self.reject_beat(format!("{} is not its life", beat.life));
+                } else if beat.life.is_same(&answering) {
+                    self.change_life(now, beat, Some(now), &reply);
+                } else {
+                    self.meet_unheard(now, answering, &reply);
+                }
                 return Some(reply);
             }
             HoldReply::WrongLife => self.reject_beat(format!("{} is not its life", beat.life)),
@@ -181,22 +223,77 @@
         None
     }
 
-    /// Takes note that a life of the worker is over.
-    pub fn worker_left(&mut self, now: Mono, life: &str) {
-        if self.lives.is_asked(life) {
-            self.lives.candidate = None;
+    /// The lists are of a life that has not said anything yet: nothing is started there until it has said what
+    /// room it has, as it may be of another kind than the one before.
+    pub(super) fn meet_unheard(&mut self, now: Mono, life: Life, reply: &HoldReply) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let beat = WorkerBeat {
+            life,
+            draining: false,
+            sequence: 0,
+            ..worker.beat.clone()
+        };
+        self.change_life(now, beat, None, reply);
+    }
+
+    /// The worker has answered in another life. What its lists show is there, begun after it had started and before that
+    /// was known: ended as lost it would run a second time elsewhere.
+    fn change_life(&mut self, now: Mono, beat: WorkerBeat, heard: Option<Mono>, reply: &HoldReply) {
+        let same_id = self.life() == beat.life.id;
+        let kept = if same_id {
+            self.found_in(reply)
+        } else {
+            Vec::new()
+        };
+        self.judge_crash(now, &kept);
+        self.end_life(now, "another life has registered", &kept);
+        self.meet(now, beat, heard);
+    }
+
+    /// The runs that lists show, and those of which it is not known yet whether they began: a worker that has
+    /// started again under its id may have taken them.
+    fn found_in(&self, reply: &HoldReply) -> Vec<TaskName> {
+        let HoldReply::Lists {
+            running, finished, ..
+        } = reply
+        else {
+            return Vec::new();
+        };
+        let listed = running.iter().map(|row: &RunningRow| row.run);
+        let listed = listed.chain(finished.iter().map(|row: &FinishedRow| row.run));
+        let listed: Vec<_> = listed.collect();
+        let found = self.runs.iter().filter(|(task, run)| {
+            let shown = |name: &super::RunName| name.task == **task && name.run == run.run;
+            run.state == RunState::Starting || listed.iter().any(shown)
+        });
+        found.map(|(task, _)| *task).collect()
+    }
+
+    /// Takes note that a worker with this id says that it has left. It may be of an earlier life under the same id and
+    /// have come late: one that runs something and has not said that it leaves is asked.
+    pub fn worker_left(&mut self, now: Mono, id: &str) {
+        if self.life() != id {
+            if self.lives.is_asked(id) {
+                self.lives.candidate = None;
+            }
+            return;
         }
-        if self.life() == life {
-            self.end_life(now, "it has left");
-            self.work(now);
+        let draining = self.worker.as_ref().is_some_and(|w| w.beat.draining);
+        if draining || self.runs.is_empty() {
+            self.lives.candidate = None;
+            self.end_life(now, "it has left", &[]);
         }
+        self.work(now);
     }
 
+    /// Meets the worker in a life that it has told of itself.
     pub(super) fn begin_life(&mut self, now: Mono, beat: WorkerBeat) {
-        if self.worker.is_some() {
-            self.judge_crash(now);
-            self.end_life(now, "another life has registered");
-        }
+        self.meet(now, beat, Some(now));
+    }
+
+    fn meet(&mut self, now: Mono, beat: WorkerBeat, heard: Option<Mono>) {
         let detail = format!("{} of {}", beat.life, beat.service);
         self.log(Kind::WorkerUp, detail);
         if beat.draining {
@@ -206,7 +303,7 @@
         self.unclean_since = now;
         self.worker = Some(Worker {
             beat,
-            heard: now,
+            heard,
             answers: true,
             ..Worker::default()
         });
@@ -225,20 +322,25 @@
     }
 
     fn keep_worker(&mut self) {
-        let beat = self.worker.as_ref().map(|w| w.beat.clone());
+        let heard = self.worker.as_ref().filter(|w| w.heard.is_some());
+        let beat = heard.map(|w| w.beat.clone());
         self.actions.push(Action::Keep(beat));
     }
 
-    /// Everything that ran in this life of the worker is over.
-    fn end_life(&mut self, now: Mono, cause: &str) {
-        let life = self.life();
-        self.lives.end(&life);
-        self.log(Kind::WorkerDown, life);
-        self.log_lost(now, cause);
+    /// Everything that ran in this life of the worker is over, except for what is known to be in the next one.
+    fn end_life(&mut self, now: Mono, cause: &str, kept: &[TaskName]) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let life = worker.beat.life.clone();
+        self.log(Kind::WorkerDown, life.to_string());
+        self.log_lost(now, cause, kept);
+        self.lives.end(life);
         self.worker = None;
         self.profile_changed();
         self.keep_worker();
-        let names: Vec<TaskName> = self.runs.keys().copied().collect();
+        let lost = self.runs.keys().filter(|task| !kept.contains(task));
+        let names: Vec<TaskName> = lost.copied().collect();
         for name in names {
             self.end_run_lost(now, name);
         }
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -92,3 +92,126 @@
     assert_eq!(bench.started(), before, "it has said that it leaves");
     assert_eq!(ends, [(1, EndKind::Done), (2, EndKind::Done)]);
 }
+
+/// A life that began earlier by the time of day is the later one if the worker's clock was set back meanwhile.
+#[test]
+fn test_executor_believes_a_restarted_worker_whose_clock_was_set_back() {
+    let mut bench = Bench::restarted(50);
+    bench.start(ONE, 2, &[0]);
+    let reply = OrderReply::Done(1);
+    bench.executor.started(bench.now, run(2, 0, 1), reply);
+    let end = finished(1, run(2, 0, 1), WorkerEnd::Done);
+    bench.lists_born(50, &[], vec![end]);
+    assert_eq!(bench.ends(ONE)[1], (2, EndKind::Done));
+}
+
+/// A heartbeat of the life before that was held up on the way says that it leaves, and has a higher number.
+#[test]
+fn test_executor_late_heartbeat_of_the_life_before_changes_nothing() {
+    let mut bench = Bench::restarted(200);
+    bench.start(ONE, 2, &[0]);
+    let reply = OrderReply::Done(1);
+    bench.executor.started(bench.now, run(2, 0, 1), reply);
+    bench.beat_born(100, true, 18);
+    for _ in 0..2 {
+        bench.lists_born(200, &[run(2, 0, 1)], Vec::new());
+    }
+    bench.start(ONE, 3, &[0]);
+    assert_eq!(bench.started().len(), 3);
+    assert_eq!(bench.ends(ONE).len(), 1, "nothing has ended");
+    assert_eq!(bench.executor.counts().beats_rejected, 1);
+}
+
+/// Orders are sent between the restart and the first word of the new life, and reach it.
+#[test]
+fn test_executor_keeps_a_run_that_a_restarted_worker_began_before_it_was_known() {
+    let mut bench = Bench::used();
+    bench.start(ONE, 2, &[0]);
+    bench.start(ONE, 3, &[0]);
+    for job in [2, 3] {
+        let reply = OrderReply::Done(1);
+        bench.executor.started(bench.now, run(job, 0, 1), reply);
+    }
+    bench.beat_born(200, false, 1);
+    for _ in 0..2 {
+        bench.lists_born(200, &[run(3, 0, 1)], Vec::new());
+    }
+    bench.pass(20);
+    assert_eq!(bench.ends(ONE)[1..], [(2, EndKind::Crashed)]);
+    assert_eq!(bench.stopped(), []);
+    let end = finished(1, run(3, 0, 1), WorkerEnd::Done);
+    bench.lists_born(200, &[], vec![end]);
+    assert_eq!(bench.ends(ONE)[2..], [(3, EndKind::Done)]);
+}
+
+/// Its lists tell of the new life first. It may be of another kind, with less room.
+#[test]
+fn test_executor_starts_nothing_in_a_life_that_has_not_said_what_it_has() {
+    let mut bench = Bench::used();
+    bench.held(HoldReply::NoAnswer);
+    for _ in 0..2 {
+        bench.lists_born(200, &[], Vec::new());
+    }
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 1);
+    bench.beat_born(200, false, 1);
+    bench.start(ONE, 3, &[0]);
+    assert_eq!(bench.started().len(), 2);
+}
+
+/// The worker has started again while a hold is under way: calls reach a life whose room is not known.
+#[test]
+fn test_executor_starts_nothing_while_it_asks_which_life_it_is() {
+    let mut bench = Bench::used();
+    bench.beat_born(200, false, 1);
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 1);
+}
+
+/// The word that the life before has left comes late. What runs now would be begun elsewhere at the same time.
+#[test]
+fn test_executor_late_leave_of_the_life_before_ends_no_run() {
+    let mut bench = Bench::restarted(200);
+    bench.start(ONE, 2, &[0]);
+    let reply = OrderReply::Done(1);
+    bench.executor.started(bench.now, run(2, 0, 1), reply);
+    bench.executor.worker_left(bench.now, "w1");
+    bench.lists_born(200, &[run(2, 0, 1)], Vec::new());
+    bench.pass(20);
+    assert_eq!(bench.ends(ONE).len(), 1, "only that of before");
+}
+
+/// What was kept of a worker in the store is of the life before: its room may have been another.
+#[test]
+fn test_executor_recalls_no_life_that_is_over_under_the_same_id() {
+    let mut bench = Bench::new();
+    let beat = WorkerBeat {
+        life: Life {
+            id: "w1".to_owned(),
+            born: Some(100),
+        },
+        service: "s".to_owned(),
+        ..WorkerBeat::default()
+    };
+    bench.executor.recall(bench.now, beat);
+    bench.take();
+    bench.lists_born(200, &[], Vec::new());
+    bench.link(ONE, "one");
+    bench.start(ONE, 1, &[0]);
+    assert_eq!(bench.started(), []);
+    bench.beat_born(200, false, 1);
+    for _ in 0..2 {
+        bench.lists_born(200, &[], Vec::new());
+    }
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started(), [run(2, 0, 1)]);
+}
+
+/// In one life a worker that leaves does not come back, so that its word counts also if it was held up.
+#[test]
+fn test_executor_takes_note_of_a_late_word_that_the_worker_leaves() {
+    let mut bench = Bench::used();
+    bench.beat_born(100, true, 16);
+    bench.start(ONE, 2, &[0]);
+    assert_eq!(bench.started().len(), 1);
+}
