tests, soak: workers that come back under their ids, power lost everywhere, among real processes

Cause: drawn faults gave a crashed worker a new id, so neither the soak nor the random run could show lives that share one; and where all machines lost power the workers did not. A test of real processes: ends and a leave after two workers restarted.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -288,6 +288,40 @@
     assert!(workers.models[1].begun >= 15);
 }
 
+/// Workers that are started again under the ids that they had count their ends and heartbeats from 1. While lives were told
+/// apart by the id alone, their ends were passed over and each task ran until the job's time was up.
+#[actix_rt::test]
+async fn test_platform_workers_that_restart_under_their_ids_are_met_anew() {
+    let fleet = Fleet::start(binary(), 1, 2).await;
+    let entry = fleet.entries[0].callers();
+    let got = callers::hand_in(&fleet.workers, entry, job(1, 40, 10)).await;
+    assert_eq!(got.state, "completed");
+    for number in 0..2 {
+        fleet.workers.lock().unwrap().restart(number);
+    }
+    eventually("both agents have met the new lives", async || {
+        let logs = fleet.agents.iter().map(Machine::log_text);
+        logs.filter(|l| l.matches("SC421").count() == 2).count() == 2
+    })
+    .await;
+    let before = fleet.workers.lock().unwrap().witness.starts;
+    let got = callers::hand_in(&fleet.workers, entry, job(2, 10, 30)).await;
+    assert_eq!(got.state, "completed");
+    let starts = fleet.workers.lock().unwrap().witness.starts;
+    assert_eq!(starts - before, 10, "each task began once");
+
+    fleet.workers.lock().unwrap().models[0].draining = true;
+    eventually("the agent tells of it", async || {
+        fleet.agents[0].log_text().contains("SC422")
+    })
+    .await;
+    let before = fleet.workers.lock().unwrap().starts[0];
+    let got = callers::hand_in(&fleet.workers, entry, job(3, 6, 30)).await;
+    assert_eq!(got.state, "completed");
+    assert_eq!(fleet.workers.lock().unwrap().starts[0], before);
+    assert_eq!(fleet.violation(), None);
+}
+
 /// A worker goes 10 ms after it has started a task of the job, and is back in another life.
 #[actix_rt::test]
 async fn test_platform_job_that_takes_workers_down_is_given_up() {
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -142,7 +142,7 @@
             fault(&mut world);
         }
         if plan.losses && world.rng.random_bool(LOSSES) {
-            lose_many(&mut world);
+            lose_many(&mut world, plan.reborn);
         }
     }
     calm(&mut world);
@@ -276,11 +276,17 @@
     }
 }
 
-/// Kills all schedulers, all executors, or everybody. Each comes back by itself.
-fn lose_many(world: &mut World) {
+/// Kills all schedulers, all executors, or everybody. Each comes back by itself. With `workers`, those lose
+/// power at the same moment as everybody.
+fn lose_many(world: &mut World, workers: bool) {
     let (schedulers, executors) = world.size();
     let which = world.rng.random_range(0..3);
     let silent = world.rng.random_bool(0.5);
+    if workers && which == 2 {
+        for number in 0..executors {
+            world.lose_power(number);
+        }
+    }
     let nodes = (0..schedulers).map(Node::Scheduler);
     let nodes = nodes.chain((0..executors).map(Node::Executor));
     for node in nodes {
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -225,6 +225,12 @@
         self.workers[number].running.clear();
     }
 
+    /// A worker loses power for a while.
+    pub fn lose_power(&mut self, number: usize) {
+        self.crash_worker(number);
+        self.at(CRASH_AWAY_US, Due::Back(number));
+    }
+
     /// A run takes its worker down, and all that runs there with it.
     pub(super) fn crash_under(&mut self, n: usize, life: &str, run: RunName) {
         let worker = &self.workers[n];
@@ -235,8 +241,7 @@
         self.print(Node::Executor(n), &format!("worker: crash under {run:?}"));
         self.crashes += 1;
         self.witness.crashed_by(run.task);
-        self.crash_worker(n);
-        self.at(CRASH_AWAY_US, Due::Back(n));
+        self.lose_power(n);
     }
 
     /// A worker is back as it was, in a new life.
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -97,6 +97,8 @@
 const CHANGES: f64 = 0.02;
 /// The share of jobs that take workers down.
 const CRASHING: f64 = 0.02;
+/// How often workers lose power, too, when all other machines do.
+const POWER_EVERYWHERE: f64 = 0.5;
 /// The zone that is evacuated now and then: that of every other agent.
 const EVACUATED: &str = "y";
 /// A configuration of this many queues takes about 250 KB.
@@ -109,7 +111,7 @@
     rng: ChaCha8Rng,
     /// Draws the changes of the configuration, so that the faults of a seed stay as they are.
     changes: ChaCha8Rng,
-    /// Draws the jobs that take workers down, likewise.
+    /// Draws the jobs that take workers down, and whether workers lose power with all other machines, likewise.
     crashes: ChaCha8Rng,
     fleet: Fleet,
     completed: Rc<Cell<u64>>,
@@ -433,6 +435,10 @@
             10 => {
                 fleet.entries.iter_mut().for_each(Machine::kill);
                 fleet.agents.iter_mut().for_each(Machine::kill);
+                if self.crashes.random_bool(POWER_EVERYWHERE) {
+                    fleet.workers.lock().unwrap().crash_all();
+                    return ("power lost everywhere".to_owned(), Healing::StartAll);
+                }
                 ("all killed".to_owned(), Healing::StartAll)
             }
             _ => {
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -107,12 +107,20 @@
         self.start.elapsed().as_micros() as u64 + 10_000_000
     }
 
-    /// A worker crashes and comes up in a new life.
+    /// A worker crashes and comes up in a new life, each second time under the id that it had.
     pub fn crash(&mut self, number: usize) {
         self.advance();
         self.begin_anew(number);
     }
 
+    /// All workers lose power at the same moment, and come up in new lives.
+    pub fn crash_all(&mut self) {
+        self.advance();
+        for number in 0..self.models.len() {
+            self.begin_anew(number);
+        }
+    }
+
     /// A worker crashes and comes up under the id that it had.
     pub fn restart(&mut self, number: usize) {
         self.advance();
@@ -123,7 +131,10 @@
 
     fn begin_anew(&mut self, number: usize) {
         self.witness.crashed(self.models[number].known_there());
-        self.models[number] = self.new_life();
+        self.models[number] = match self.lives.is_multiple_of(2) {
+            true => self.life_under(self.models[number].life.id.clone()),
+            false => self.new_life(),
+        };
     }
 
     /// Takes down the workers whose time has come.
@@ -267,8 +278,13 @@
 /// A heartbeat that is not the worker's: of a life that is over, damaged, or with something missing or unheard of.
 fn strange_beat(life: &str, document: &Value, turn: u64) -> (String, String) {
     let mut document = document.clone();
-    match turn % 5 {
+    match turn % 6 {
         0 => return ("i-0".to_owned(), document.to_string()),
+        5 => {
+            document["born"] = json!(BORN_MS);
+            document["sequence"] = json!(1_000_000);
+            document["state"] = json!("draining");
+        }
         1 => return (life.to_owned(), "{\"service\": \"s".to_owned()),
         2 => document["state"] = json!("resting"),
         3 => document["service"] = json!(7),
