executor: a fencing token passes that of an earlier life within some calls

Cause: the same class as restarted workers: a count that begins with the time of day compared with one of an earlier life. After the clock was set back, an agent that was started again raised its token by ten seconds a refused call: 360 calls for an hour. Change: the step doubles. Before, after (test): over 20 refused calls for an hour, within 20 (nine by its steps). Looked at for the same cause and left, as it is told apart there: sessions of schedulers and executors, peers (incarnation drawn at the start), clock readings that are echoed and numbers of ends (begun anew with each incarnation), revisions of the store.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -172,6 +172,8 @@
     leases_stale: Option<Mono>,
     health: Health,
     fence: u64,
+    /// How far it is raised next.
+    fence_step: u64,
     /// Since when runs may be at the worker that are not known here.
     unclean_since: Mono,
     /// Until when runs may be alive by what was ordered, even if the worker is never asked again.
@@ -201,6 +203,7 @@
     pub fn new(setup: ExecutorSetup) -> Executor {
         Executor {
             fence: setup.fence,
+            fence_step: runs::FENCE_STEP,
             worker: None,
             lives: Lives::default(),
             runs: BTreeMap::new(),
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -15,8 +15,12 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// How far a fencing token is raised when the worker has seen a higher one.
-const FENCE_STEP: u64 = 10_000;
+/// How far a fencing token is raised when the worker has seen a higher one, at first: ten seconds of the clock that it
+/// begins with.
+pub(super) const FENCE_STEP: u64 = 10_000;
+/// It is raised by twice as much each time, up to this, so that it passes any earlier one soon. After a clock was set
+/// back by an hour 360 calls were refused before that; nine are now.
+const MAX_FENCE_STEP: u64 = 1 << 42;
 
 /// How far a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -279,7 +283,8 @@
     }
 
     pub(super) fn raise_fence(&mut self) {
-        self.fence += FENCE_STEP;
+        self.fence += self.fence_step;
+        self.fence_step = (self.fence_step * 2).min(MAX_FENCE_STEP);
         self.log(Kind::FenceRaised, self.fence.to_string());
     }
 
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -215,3 +215,26 @@
     bench.start(ONE, 2, &[0]);
     assert_eq!(bench.started().len(), 1);
 }
+
+/// The token begins with the time of day, and the clock was set back by an hour while the executor was away.
+#[test]
+fn test_executor_passes_the_fence_of_its_earlier_life_within_some_calls() {
+    let seen = 3_600_000;
+    let mut bench = Bench::new();
+    bench.beat_born(100, false, 1);
+    let mut refused = 0;
+    while last_fence(&bench) <= seen {
+        refused += 1;
+        assert!(refused <= 20, "refused {refused} times");
+        bench.held(HoldReply::Fenced);
+        bench.pass(1);
+    }
+}
+
+fn last_fence(bench: &Bench) -> u64 {
+    let holds = bench.actions.iter().rev().find_map(|a| match a {
+        Action::Hold(call) => Some(call.fence),
+        _ => None,
+    });
+    holds.expect("a hold")
+}
