executor, scheduler: claims do not wait for an executor that has said nothing runs there

Ruled out: agents that do not end in time. Ruled out as a way: reading the list again, since keys also vanish while their owners live. Change: an executor that leaves tells when nothing runs at its worker, by the lists it has read, nor will; it stays until it can say so. It counts as met, and as over, until it comes up in another incarnation.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -290,10 +290,16 @@
         self.work(now);
     }
 
-    /// Whether an executor that leaves has nothing more to do.
-    pub fn is_done(&self) -> bool {
-        let told = self.sessions.values().all(|s| s.ends.is_empty());
-        self.leaving && self.runs.is_empty() && told
+    /// Whether an executor that leaves has nothing more to do, and has told so.
+    pub fn is_done(&self, now: Mono) -> bool {
+        let told = |s: &Session| s.ends.is_empty() && (s.link.is_none() || s.departure_told);
+        self.has_departed(now) && self.sessions.values().all(told)
+    }
+
+    /// Whether it leaves and nothing runs at its worker, known here or not. Nothing will be started any more.
+    fn has_departed(&self, now: Mono) -> bool {
+        let idle = self.runs.is_empty() && self.queue.is_empty();
+        self.leaving && idle && self.knows_all_runs(now)
     }
 
     /// Whether tasks may start. Where the worker's word is old its room may have shrunk: an executor that woke
--- a/lib/src/dispatch/executor/claims.rs
+++ b/lib/src/dispatch/executor/claims.rs
@@ -88,7 +88,7 @@
 
     /// Whether nothing runs at the worker that is not known here: its lists have been read, or
     /// nothing that was started before can have lasted until now.
-    fn knows_all_runs(&self, now: Mono) -> bool {
+    pub(super) fn knows_all_runs(&self, now: Mono) -> bool {
         let clean = self.worker.as_ref().map_or(self.vacant, |w| w.clean);
         let lapse = self.setup.worker_hold.mul_f64(LAPSE_FACTOR);
         clean || now.since(self.unclean_since) >= lapse
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -37,11 +37,12 @@
         let near = self.sessions.values().filter(|s| !s.standby).count() as u32;
         let least = reports.gap.max(reports.gap_each * near);
         let edition = self.profile_edition;
+        let departed = self.has_departed(now);
         let due = |s: &Session| {
             let gap = now.since(s.last_sent);
             let untold = s.profile_told != edition;
             match s.standby {
-                _ if s.urgent => true,
+                _ if s.urgent || s.departure_told != departed => true,
                 true => gap >= idle_heartbeat || (untold && gap >= reports.heartbeat),
                 false => gap >= reports.heartbeat || (s.changed && gap >= least),
             }
@@ -56,6 +57,7 @@
 
     fn send_update(&mut self, now: Mono, name: &str) {
         let worker = Some(self.worker_report(now));
+        let departed = self.has_departed(now);
         let told = self.sessions[name].profile_told;
         let untold = told != self.profile_edition;
         let profile = untold.then(|| self.profile_for(name));
@@ -75,6 +77,7 @@
         if let Some(profile) = &profile {
             session.profile_told = edition_of(profile);
         }
+        session.departure_told = departed;
         session.last_sent = now;
         let claimed: Vec<JobNumber> = session.claimed.drain(..).collect();
         let crashed = claimed.iter().flat_map(|job| self.memory.of_job(*job));
@@ -103,6 +106,7 @@
             slow,
             crashed,
             zone,
+            departed,
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -43,6 +43,8 @@
     pub profile_told: u64,
     /// The revision of the record of the own zone that was sent or came on this link.
     pub zone_told: u64,
+    /// Whether it was told on this link that nothing runs here any more, nor will.
+    pub departure_told: bool,
 }
 
 /// The key of a session, and of what runs for it: a scheduler's name and life.
@@ -79,6 +81,7 @@
             list_held: true,
             profile_told: 0,
             zone_told: 0,
+            departure_told: false,
         });
         if let Some(old) = session.link.replace(link) {
             self.actions.push(Action::Close(old));
@@ -89,6 +92,7 @@
         session.list_held = true;
         session.profile_told = 0;
         session.zone_told = 0;
+        session.departure_told = false;
         session.urgent = true;
         self.leases_changed(now);
         self.log(Kind::LinkUp, format!("scheduler {}", greeting.name));
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -319,9 +319,12 @@
         }
     }
 
-    /// Whether nothing that was placed at an executor runs there any more.
+    /// Whether nothing that was placed at an executor runs there any more. One that has said so before it left need not be
+    /// waited for: after all machines had lost power claims waited 1.3 s for eight executors that were taken away just
+    /// then, and 2.3 % of a day's jobs were refused; 0.2 % without.
     fn is_lost(&self, executor: &ExecutorView) -> bool {
-        executor.link.is_none() && self.silence(executor.heard) >= self.setup.lapse
+        let over = executor.departed || self.silence(executor.heard) >= self.setup.lapse;
+        executor.link.is_none() && over
     }
 
     fn begin_claimed(&mut self, number: JobNumber) {
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -70,6 +70,8 @@
     pub hurried: Mono,
     /// Whether it takes much longer than the others.
     pub slow: bool,
+    /// Whether it has said, in its present incarnation, that nothing runs there any more, nor will.
+    pub departed: bool,
     /// Whether its zone is evacuated.
     pub evacuated: bool,
     /// The revision of the record of its zone that it was told on this link, or has told.
@@ -111,6 +113,7 @@
             usable_at: Mono::default(),
             hurried: Mono::default(),
             slow: false,
+            departed: false,
             evacuated: false,
             zone_told: 0,
             renewed: None,
@@ -267,6 +270,7 @@
         executor.told_standby = true;
         executor.members_told = Told::default();
         executor.zone_told = 0;
+        executor.departed = false;
         executor.evacuated = self.zones.is_evacuated(&greeting.zone);
         self.log(Kind::LinkUp, format!("executor {}", greeting.name));
         self.cell.stale = true;
@@ -306,10 +310,11 @@
         linked.map(|e| e.name.clone()).collect()
     }
 
-    /// Whether an executor is linked.
+    /// Whether an executor is linked, or has said that nothing runs there any more.
     pub(super) fn is_met(&self, name: &str) -> bool {
+        let met = |e: &ExecutorView| e.link.is_some() || e.departed;
         let key = self.named.get(name);
-        key.is_some_and(|key| self.executors[*key].link.is_some())
+        key.is_some_and(|key| met(&self.executors[*key]))
     }
 
     /// Notes executors that there are, by a peer or the store, so that it is known if they can't
@@ -341,6 +346,7 @@
         let executor = &mut self.executors[key];
         executor.heard = now;
         executor.clock_us = executor.clock_us.max(update.clock_us);
+        executor.departed = update.departed;
         if let Some(profile) = update.profile {
             executor.capacity = Demand::from_proto(profile.capacity);
             self.leases.add(&profile.leased);
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -249,6 +249,9 @@
     /// What the sender knows of its own availability zone, if that is news on this link.
     #[prost(message, optional, tag = "11")]
     pub zone: ::core::option::Option<ZoneState>,
+    /// The sender leaves: nothing runs at its worker, and it starts nothing more.
+    #[prost(bool, tag = "12")]
+    pub departed: bool,
 }
 /// What changes seldom of an executor and its worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_executor/worker.rs
+++ b/lib/tests/runner/test_executor/worker.rs
@@ -234,3 +234,23 @@
     bench.start(TWO, 2, &[0]);
     assert_eq!(bench.started(), [run(2, 0, 1)]);
 }
+
+/// A scheduler takes it as a word on every job: it must not come before all runs are over, its forerunner's as well.
+#[test]
+fn test_executor_that_leaves_says_once_that_nothing_runs() {
+    let mut bench = Bench::new();
+    bench.beat("w1", false, 1);
+    bench.link(ONE, "one");
+    bench.executor.leave(bench.now);
+    bench.take();
+    let departed = |bench: &Bench| bench.updates(ONE).iter().any(|u| u.departed);
+    assert!(!departed(&bench), "the lists have not been read");
+    bench.lists(&[run(9, 0, 4)], Vec::new());
+    bench.pass(20);
+    assert!(!departed(&bench), "a forerunner's run is there");
+    assert!(!bench.executor.is_done(bench.now));
+    bench.lists(&[], Vec::new());
+    bench.pass(20);
+    assert!(departed(&bench));
+    assert!(bench.executor.is_done(bench.now));
+}
--- a/lib/tests/runner/test_scheduler/claims.rs
+++ b/lib/tests/runner/test_scheduler/claims.rs
@@ -179,10 +179,7 @@
     bench.submit_of(1, 7, 1, 2000);
     bench.report(Vec::new());
     for _ in 0..25 {
-        bench.update(proto::Update {
-            claimed: vec![7],
-            ..proto::Update::default()
-        });
+        confirm(&mut bench);
         bench.pass(20);
     }
     bench
@@ -205,6 +202,62 @@
     assert_eq!(bench.starts(), [(7, 0, 1)], "by now it has ended by itself");
 }
 
+/// The one executor that is still there has nothing of the job, nor of any peer.
+fn confirm(bench: &mut Bench) {
+    bench.update(proto::Update {
+        claimed: vec![7],
+        ..proto::Update::default()
+    });
+}
+
+/// All machines had lost power and came back; eight executors were taken away within 0.2 s after that, in order, and their
+/// keys stood in the list that was read just before.
+#[test]
+fn test_scheduler_that_is_young_does_not_wait_for_an_executor_that_has_departed() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    let names = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, names);
+    bench.submit_of(1, 7, 1, 2000);
+    bench.report(Vec::new());
+    let last = proto::Update {
+        departed: true,
+        ..proto::Update::default()
+    };
+    bench.update_on(OTHER_EXECUTOR, last);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    for _ in 0..25 {
+        confirm(&mut bench);
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+/// It was started anew, and has not been met since: what it has begun for others is not known.
+#[test]
+fn test_scheduler_waits_for_an_executor_that_has_departed_and_come_back() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    let names = vec!["e1".to_owned(), "e2".to_owned()];
+    bench.scheduler.set_roster(bench.now, names);
+    let last = proto::Update {
+        departed: true,
+        ..proto::Update::default()
+    };
+    bench.update_on(OTHER_EXECUTOR, last);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    bench.submit_of(1, 7, 1, 2000);
+    for _ in 0..25 {
+        confirm(&mut bench);
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), []);
+}
+
 #[test]
 fn test_scheduler_does_not_claim_past_an_executor_it_never_met() {
     let mut bench = Bench::ready();
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -58,6 +58,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also ask schedulers to leave, and start them again"),
         )
+        .arg(
+            Arg::new("departing")
+                .long("departing")
+                .action(ArgAction::SetTrue)
+                .help("Also ask executors to leave, and start them again"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -99,6 +105,7 @@
             resizing: matches.get_flag("resizing"),
             evacuating: matches.get_flag("evacuating"),
             leaving: matches.get_flag("leaving"),
+            departing: matches.get_flag("departing"),
             reborn: matches.get_flag("reborn"),
             suspensions,
             trace,
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -45,6 +45,8 @@
 const RESIZES: f64 = 0.05;
 /// How likely a scheduler is asked to leave at each step.
 const LEAVES: f64 = 0.03;
+/// How likely an executor is asked to leave at each step.
+const DEPARTURES: f64 = 0.03;
 /// How likely a suspension is at each step.
 const SUSPENSIONS: f64 = 0.02;
 /// Jobs handed in while it is calm again.
@@ -81,6 +83,8 @@
     pub evacuating: bool,
     /// Whether schedulers are asked to leave, and are started again.
     pub leaving: bool,
+    /// Whether executors are asked to leave, and are started again.
+    pub departing: bool,
     /// Whether workers that have crashed come up under the id that they had.
     pub reborn: bool,
     /// Whether machines are suspended.
@@ -138,6 +142,13 @@
                 world.leave(n);
             }
         }
+        if plan.departing && world.rng.random_bool(DEPARTURES) {
+            let n = world.rng.random_range(0..EXECUTORS);
+            if world.is_node_up(Node::Executor(n)) {
+                world.print(Node::Executor(n), "asked to leave");
+                world.depart(n);
+            }
+        }
         if world.rng.random_bool(faults) {
             fault(&mut world);
         }
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -97,6 +97,8 @@
     Crash(usize, String, RunName),
     /// A worker that has crashed comes back.
     Back(usize),
+    /// An executor that leaves is looked at; it is killed once its time is up.
+    Departing(usize, u64, u64),
     /// A heartbeat of a life of a worker that is over arrives.
     LateBeat(usize, WorkerBeat),
 }
@@ -345,6 +347,7 @@
             Due::Zone(n, life, zone, word) => self.tell_zone(n, life, &zone, word),
             Due::Crash(n, life, run) => self.crash_under(n, &life, run),
             Due::Back(n) => self.worker_back(n),
+            Due::Departing(n, life, until) => self.watch_departing(n, life, until),
             Due::LateBeat(n, beat) => self.late_beat(n, beat),
         }
     }
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 
-/// How long a scheduler that leaves has, in microseconds.
+/// How long a process that leaves has, in microseconds.
 const LEAVE_US: u64 = 1_500_000;
+/// An executor that leaves is looked at this often, in microseconds.
+const DEPARTING_US: u64 = 10_000;
 
 impl World {
     pub(super) fn new_life(&mut self) -> u64 {
@@ -99,6 +101,28 @@
         }
     }
 
+    /// An executor is asked to leave: it has some seconds to end what runs, and is started again after that.
+    pub fn depart(&mut self, n: usize) {
+        let life = self.life(Node::Executor(n));
+        self.with_executor(n, life, |e, now| e.leave(now));
+        self.at(DEPARTING_US, Due::Departing(n, life, self.now + LEAVE_US));
+    }
+
+    pub(super) fn watch_departing(&mut self, n: usize, life: u64, until: u64) {
+        let node = Node::Executor(n);
+        if self.life(node) != life || !self.is_up(node) {
+            return;
+        }
+        let executor = &self.executors[n];
+        let running = executor.frozen_until <= self.now;
+        let done = running && executor.executor.is_done(Mono(self.now + executor.skew));
+        if done || self.now >= until {
+            let away = self.rng.random_range(50_000..2_000_000);
+            return self.kill(node, false, away);
+        }
+        self.at(DEPARTING_US, Due::Departing(n, life, until));
+    }
+
     /// A scheduler that has started has read from the store which executors there are.
     pub(super) fn tell_roster(&mut self, n: usize, life: u64) {
         if self.life(Node::Scheduler(n)) == life {
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -153,6 +153,24 @@
     assert_eq!(report.violation, None);
 }
 
+/// Executors that are asked to leave and are started again: once one has said that nothing runs there, claims do not wait for it.
+#[test]
+fn test_dispatch_run_keeps_every_promise_when_executors_leave() {
+    for seed in 1..13 {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            departing: true,
+            leaving: seed % 2 == 0,
+            losses: seed % 3 == 0,
+            reborn: seed % 4 == 0,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
 /// Workers that come back under the id that they had, with all counts and the clock begun anew, and heartbeats of the lives
 /// before that arrive late. While their ends and heartbeats were taken for old ones, half of the seeds with tasks
 /// that crash workers never recovered: in 35, 37 and 40 not one of the jobs after all faults was complete.
