scheduler: lives of a peer are told apart where claims are settled

A scheduler that is killed and started again is heard under its name at once, so nobody doubts it any more; what its earlier life had begun still runs, for up to its lease, at an executor that another scheduler has no link to. A claim settled there without that executor, and a task ran twice at once. The code before had it: the test on one scheduler needs links only, and fails without the change. Change: for as long as what a lost process had begun can last (lapse, 1.3 s), after a peer was met in another incarnation, claims wait for every executor that is not linked.

--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -79,6 +79,14 @@
         self.peers.values().any(away) && linked.count() * 2 < self.executors.len()
     }
 
+    /// Whether a peer was met in a new incarnation only just now. What its earlier one had placed where this scheduler has
+    /// no link may still run, though the peer is heard: a task ran twice at once.
+    fn has_renewed_peer(&self) -> bool {
+        let bound = self.setup.lapse;
+        let recent = |p: &Peer| p.renewed.is_some_and(|at| self.now.since(at) < bound);
+        self.peers.values().any(recent)
+    }
+
     /// Whether a claim must reach every executor that is known: a peer may be at work that could
     /// use one that can't be reached here.
     fn must_reach_all(&self) -> bool {
@@ -306,7 +314,8 @@
             return ClaimState::OutOfReach;
         }
         let all = self.must_reach_all();
-        let may_run = |e: &ExecutorView| all || !self.is_lost(e);
+        let wait = all || self.has_renewed_peer();
+        let may_run = |e: &ExecutorView| wait || !self.is_lost(e);
         let open = |key: &ExecutorKey| self.executors.get(*key).is_some_and(may_run);
         let confirmed = !asked.iter().any(open);
         // What a forerunner of this scheduler had started is over by then, asked about or not,
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -24,6 +24,8 @@
     /// Further links, as when both have connected to each other at once.
     spare: Vec<LinkId>,
     incarnation: u64,
+    /// When it was met in another incarnation than before.
+    pub renewed: Option<Mono>,
     address: String,
     pub heard: Mono,
     /// Whether its first message on a link has come, which says what it has at work.
@@ -195,6 +197,7 @@
         if peer.incarnation == greeting.incarnation {
             peer.spare.extend(old);
         } else {
+            peer.renewed = (peer.incarnation != 0).then_some(now);
             let closing: Vec<LinkId> = peer.spare.drain(..).chain(old).collect();
             close(closing, &mut self.ends, &mut self.actions);
         }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -98,10 +98,14 @@
     }
 
     fn link(&mut self, link: LinkId, name: &str, executor: bool) {
+        self.link_life(1, link, name, executor);
+    }
+
+    fn link_life(&mut self, incarnation: u64, link: LinkId, name: &str, executor: bool) {
         let greeting = proto::Greeting {
             executor,
             name: name.to_owned(),
-            incarnation: 1,
+            incarnation,
             ..proto::Greeting::default()
         };
         self.scheduler.link_up(self.now, link, &greeting);
--- a/lib/tests/runner/test_scheduler/claims.rs
+++ b/lib/tests/runner/test_scheduler/claims.rs
@@ -453,3 +453,36 @@
     bench.pass(20);
     assert_eq!(bench.starts(), [(7, 0, 1)]);
 }
+
+/// A peer has begun a task of a job at e2, to which this scheduler had lost its link before. The peer was killed and
+/// started again, and is heard under its name at once; what it had begun runs until its lease at e2 is over. As a
+/// peer that is heard it was not doubted, and the task ran twice at once (seed 79 of the random run with executors that leave).
+#[test]
+fn test_scheduler_waits_for_what_an_earlier_life_of_a_peer_may_have_at_work() {
+    let mut bench = Bench::new();
+    bench.link(EXECUTOR, "e1", true);
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.link(PEER, "s2", false);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    for _ in 0..100 {
+        bench.report(Vec::new());
+        bench.peer(proto::PeerUpdate::default());
+        bench.pass(20);
+    }
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.link_life(2, PEER, "s2", false);
+    bench.peer(proto::PeerUpdate::default());
+    bench.submit_of(1, 7, 1, 2000);
+    for _ in 0..50 {
+        confirm(&mut bench);
+        bench.peer(proto::PeerUpdate::default());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [], "e2 may still run it");
+    for _ in 0..20 {
+        confirm(&mut bench);
+        bench.peer(proto::PeerUpdate::default());
+        bench.pass(20);
+    }
+    assert_eq!(bench.starts(), [(7, 0, 1)], "by now it has ended");
+}
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -171,6 +171,40 @@
     }
 }
 
+/// A scheduler that is started again is heard under its name at once, while what its earlier life had begun still runs at an
+/// executor that another one has no link to: in these three seeds a task ran twice at once.
+#[test]
+fn test_dispatch_run_tells_lives_of_a_scheduler_apart() {
+    let plan = RunPlan {
+        span: SPAN,
+        departing: true,
+        ..RunPlan::default()
+    };
+    let losses = RunPlan {
+        losses: true,
+        ..plan
+    };
+    let plans = [
+        RunPlan { seed: 79, ..plan },
+        RunPlan {
+            seed: 22,
+            crashing: true,
+            reborn: true,
+            suspensions: Suspensions::Counted,
+            ..losses
+        },
+        RunPlan {
+            seed: 23,
+            cell: 2,
+            ..losses
+        },
+    ];
+    for plan in plans {
+        let report = run::run_plan(plan);
+        assert_eq!(report.violation, None, "seed {}", plan.seed);
+    }
+}
+
 /// Workers that come back under the id that they had, with all counts and the clock begun anew, and heartbeats of the lives
 /// before that arrive late. While their ends and heartbeats were taken for old ones, half of the seeds with tasks
 /// that crash workers never recovered: in 35, 37 and 40 not one of the jobs after all faults was complete.
