executor: the word that an id has left is believed only where no earlier life had that id

Cause: found by reading. That word names no start. A late one of the life before would have ended the runs of a restarted worker that leaves, while they ran: begun elsewhere they would have run twice at once. Before, after: the test ends such a run, keeps it. The entry reads it once and carries it on. Not mended: leases and takeovers of the first engine count on a clock that does not jump.

--- a/lib/src/dispatch/executor/lives.rs
+++ b/lib/src/dispatch/executor/lives.rs
@@ -14,6 +14,7 @@
 use super::FinishedRow;
 use super::HoldReply;
 use super::Life;
+use super::RunName;
 use super::RunState;
 use super::RunningRow;
 use super::Worker;
@@ -49,7 +50,12 @@
         self.past.iter().any(|l| l.is_same(life))
     }
 
-    /// The life to ask the worker about, if there is one.
+    /// Whether an earlier life had this id.
+    fn has_had(&self, id: &str) -> bool {
+        self.past.iter().any(|life| life.id == id)
+    }
+
+    /// The id of the life to ask the worker about, if there is one.
     pub fn asked(&self) -> Option<String> {
         self.candidate
             .as_ref()
@@ -263,16 +269,17 @@
         };
         let listed = running.iter().map(|row: &RunningRow| row.run);
         let listed = listed.chain(finished.iter().map(|row: &FinishedRow| row.run));
-        let listed: Vec<_> = listed.collect();
+        let listed: Vec<RunName> = listed.collect();
         let found = self.runs.iter().filter(|(task, run)| {
-            let shown = |name: &super::RunName| name.task == **task && name.run == run.run;
+            let shown = |name: &RunName| name.task == **task && name.run == run.run;
             run.state == RunState::Starting || listed.iter().any(shown)
         });
         found.map(|(task, _)| *task).collect()
     }
 
-    /// Takes note that a worker with this id says that it has left. It may be of an earlier life under the same id and
-    /// have come late: one that runs something and has not said that it leaves is asked.
+    /// Takes note that a worker with this id says that it has left. That names no start: it may be of an earlier life under
+    /// the same id and have come late. While something runs, it is believed only of a worker that had said it leaves,
+    /// under an id that no earlier life had; else the next hold tells.
     pub fn worker_left(&mut self, now: Mono, id: &str) {
         if self.life() != id {
             if self.lives.is_asked(id) {
@@ -281,9 +288,12 @@
             return;
         }
         let draining = self.worker.as_ref().is_some_and(|w| w.beat.draining);
-        if draining || self.runs.is_empty() {
+        let certain = draining && !self.lives.has_had(id);
+        if certain || self.runs.is_empty() {
             self.lives.candidate = None;
             self.end_life(now, "it has left", &[]);
+        } else {
+            self.reject_beat(format!("{id} says that it has left, and has runs"));
         }
         self.work(now);
     }
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -175,10 +175,13 @@
     bench.start(ONE, 2, &[0]);
     let reply = OrderReply::Done(1);
     bench.executor.started(bench.now, run(2, 0, 1), reply);
-    bench.executor.worker_left(bench.now, "w1");
-    bench.lists_born(200, &[run(2, 0, 1)], Vec::new());
-    bench.pass(20);
-    assert_eq!(bench.ends(ONE).len(), 1, "only that of before");
+    for leaves in [false, true] {
+        bench.beat_born(200, leaves, 2);
+        bench.executor.worker_left(bench.now, "w1");
+        bench.lists_born(200, &[run(2, 0, 1)], Vec::new());
+        bench.pass(20);
+        assert_eq!(bench.ends(ONE).len(), 1, "only that of before");
+    }
 }
 
 /// What was kept of a worker in the store is of the life before: its room may have been another.
