--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -12,7 +12,9 @@
 mod claims;
 mod ends;
 mod evacuations;
+mod figures;
 mod fleet;
+mod following;
 mod handing;
 mod jobs;
 mod leases;
@@ -41,11 +43,11 @@
 use crate::dispatch::scheduler::cell::Cell;
 use crate::dispatch::scheduler::fleet::ExecutorKey;
 use crate::dispatch::scheduler::fleet::ExecutorView;
+use crate::dispatch::scheduler::following::Following;
 use crate::dispatch::scheduler::jobs::Job;
 use crate::dispatch::scheduler::leases::Leases;
 use crate::dispatch::scheduler::members::Members;
 use crate::dispatch::scheduler::pace::Paces;
-use crate::dispatch::scheduler::peers::Following;
 use crate::dispatch::scheduler::peers::Peer;
 use crate::dispatch::timings::JobTimings;
 use crate::dispatch::zones::Zones;
@@ -54,6 +56,9 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
+pub use crate::dispatch::scheduler::figures::BeliefAges;
+pub use crate::dispatch::scheduler::figures::SchedulerCounts;
+
 /// The scheduler's settings that concern decisions.
 #[derive(Clone, Debug)]
 pub struct SchedulerSetup {
@@ -97,38 +102,6 @@
     Log(Event),
 }
 
-/// Counters, for metrics.
-#[derive(Clone, Debug, Default)]
-pub struct SchedulerCounts {
-    /// Jobs handed in.
-    pub submitted: u64,
-    /// Jobs that were handed in again and joined one that is known.
-    pub joined: u64,
-    /// Jobs that were claimed at the executors before they ran.
-    pub claims: u64,
-    /// Tasks placed.
-    pub placed: u64,
-    /// Tasks placed again, by why the earlier try ended.
-    pub again: BTreeMap<&'static str, u64>,
-    /// Jobs ended, by outcome.
-    pub outcomes: BTreeMap<&'static str, u64>,
-    /// Refusals and failures, by cause.
-    pub causes: BTreeMap<&'static str, u64>,
-}
-
-/// How old what a scheduler believes is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct BeliefAges {
-    /// The catalog, since it came into force here.
-    pub catalog: Duration,
-    /// The store's word that there is no newer one.
-    pub catalog_checked: Duration,
-    /// The oldest report of an executor of the cell.
-    pub executors: Duration,
-    /// The oldest word of a linked peer.
-    pub peers: Duration,
-}
-
 /// Who is at the other end of a link.
 #[derive(Clone, Debug)]
 enum LinkEnd {
@@ -284,35 +257,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// The counters.
-    pub fn counts(&self) -> &SchedulerCounts {
-        &self.counts
-    }
-
-    /// How long jobs take.
-    pub fn timings(&self) -> &JobTimings {
-        &self.timings
-    }
-
-    /// How old what is believed is: the catalog, since when it is in force; the oldest reports of
-    /// executors and the oldest words of peers that are linked.
-    pub fn ages(&self, now: Mono) -> BeliefAges {
-        let executors = self
-            .cell
-            .near
-            .iter()
-            .filter_map(|key| self.executors.get(*key));
-        let peers = self.peers.values().filter(|p| p.link.is_some());
-        let oldest = |heard: Option<Mono>| heard.map_or(Duration::ZERO, |at| now.since(at));
-        let [since, checked] = self.catalog.times();
-        BeliefAges {
-            catalog: now.since(since),
-            catalog_checked: now.since(checked),
-            executors: oldest(executors.map(|e| e.heard).min()),
-            peers: oldest(peers.map(|p| p.heard).min()),
-        }
-    }
-
     /// The catalog in force.
     pub fn catalog(&self) -> Option<&CatalogIndex> {
         self.catalog.index()
@@ -333,29 +277,6 @@
         self.leaving.is_none() && self.catalog.index().is_some() && reachable && !better_elsewhere
     }
 
-    /// Jobs held, jobs that wait, linked executors, linked peers.
-    pub fn load(&self) -> [usize; 4] {
-        let linked = self.executors.values().filter(|e| e.link.is_some());
-        let peers = self.peers.values().filter(|p| p.link.is_some());
-        [
-            self.jobs.len(),
-            self.waiting.len(),
-            linked.count(),
-            peers.count(),
-        ]
-    }
-
-    /// Executors in the cell, and those of them that are lent to it.
-    pub fn cell(&self) -> [usize; 2] {
-        let near = self
-            .cell
-            .near
-            .iter()
-            .filter_map(|key| self.executors.get(*key));
-        let lent = near.filter(|e| !e.home).count();
-        [self.cell.near.len(), lent]
-    }
-
     /// Whether no job is held and nobody waits.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.following.is_empty()
--- a/lib/src/dispatch/scheduler/handing.rs
+++ b/lib/src/dispatch/scheduler/handing.rs
@@ -14,7 +14,7 @@
 
 use super::CallerId;
 use super::Scheduler;
-use super::peers::Following;
+use super::following::Following;
 use super::peers::Peer;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -1,17 +1,15 @@
-//! Other schedulers: links, who has which job, and whom to follow.
+//! Other schedulers: links, and who has which job. Following them stands in `following`.
 
 use std::collections::HashMap;
 
 use bytes::Bytes;
 
 use super::Action;
-use super::CallerId;
 use super::LinkEnd;
 use super::Scheduler;
 use super::members::Told;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
-use crate::dispatch::model::JobRequest;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -37,23 +35,14 @@
     /// Whether it takes jobs without claiming them for having just started.
     settled: bool,
     pub version: u64,
-    out: proto::PeerUpdate,
+    /// What it is told next.
+    pub out: proto::PeerUpdate,
     last_sent: Mono,
     members_told: Told,
     /// The edition of what is known of zones that it was told on this link.
     zones_told: u64,
 }
 
-/// A job of a peer that callers here wait for.
-#[derive(Clone, Debug)]
-pub(super) struct Following {
-    pub peer: String,
-    pub callers: Vec<CallerId>,
-    pub request: JobRequest,
-    /// Whether it came here first and was handed to the peer.
-    pub handed: bool,
-}
-
 /// Closes links.
 fn close(links: Vec<LinkId>, ends: &mut HashMap<LinkId, LinkEnd>, actions: &mut Vec<Action>) {
     for link in links {
@@ -274,20 +263,6 @@
         }
     }
 
-    /// Runs a job here that a peer had and can't be asked about.
-    fn take_over(&mut self, number: JobNumber) {
-        let Some(following) = self.following.remove(&number) else {
-            return;
-        };
-        if following.handed {
-            // Its caller was rejected by nobody yet, and the peer may have begun it.
-            self.remember(number, JobOutcome::Unknown, true);
-        }
-        for caller in following.callers {
-            self.run_here(caller, following.request.clone(), true);
-        }
-    }
-
     fn peer_update(&mut self, name: &str, update: proto::PeerUpdate) {
         let now = self.now;
         self.note_gap();
@@ -299,7 +274,7 @@
             peer.settled = update.settled;
         }
         for job in update.jobs {
-            self.note_rival(name, JobNumber(job));
+            self.note_rival(JobNumber(job));
             self.announced.note(JobNumber(job), name, now);
         }
         for job in update.follow {
@@ -338,16 +313,6 @@
         }
     }
 
-    /// A peer has a caller for a job of this scheduler.
-    fn follow_request(&mut self, name: &str, number: JobNumber) {
-        if let Some(job) = self.jobs.get_mut(&number) {
-            job.followers.push(name.to_owned());
-            return;
-        }
-        let known = self.ended.get(&number).map(|e| e.outcome);
-        self.tell_peer_end(name, number, known.unwrap_or(JobOutcome::Unknown));
-    }
-
     /// Tells a peer how a job ended that it follows.
     pub(super) fn tell_peer_end(&mut self, name: &str, number: JobNumber, outcome: JobOutcome) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -356,45 +321,6 @@
         }
     }
 
-    fn followed_end(&mut self, name: &str, number: JobNumber, outcome: JobOutcome) {
-        if outcome == JobOutcome::Unknown {
-            return self.follow_elsewhere(name, number);
-        }
-        let began = self.ended.get(&number).is_some_and(|e| e.began);
-        let outcome = match outcome {
-            // What the peer refuses may have been begun here before it went there.
-            JobOutcome::Refused(_) if began => JobOutcome::GivenUp,
-            other => other,
-        };
-        if let Some(following) = self.following.remove(&number) {
-            self.remember(number, outcome, false);
-            for caller in following.callers {
-                self.actions.push(Action::Answer(caller, outcome));
-            }
-        }
-    }
-
-    /// The peer that had a job has it no more: another one has it by now, or it is run here.
-    fn follow_elsewhere(&mut self, name: &str, number: JobNumber) {
-        if self.announced.withdraw(number, name) {
-            self.remember(number, JobOutcome::Unknown, true);
-        }
-        let Some(following) = self.following.remove(&number) else {
-            return;
-        };
-        if following.handed {
-            self.remember(number, JobOutcome::Unknown, true);
-        }
-        let other = self.linked_holder(number);
-        for caller in following.callers {
-            let request = following.request.clone();
-            match &other {
-                Some(other) => self.follow(other, caller, request),
-                None => self.run_here(caller, request, true),
-            }
-        }
-    }
-
     /// Tells the peers of an executor that has linked here. Only its name: all names on each link made
     /// 540 messages of 2 KB when six executors joined ten schedulers with eighty others.
     pub(super) fn tell_executor(&mut self, name: &str) {
@@ -405,40 +331,6 @@
         }
     }
 
-    /// Asks a peer to tell the end of its job.
-    pub(super) fn follow(&mut self, peer_name: &str, caller: CallerId, request: JobRequest) {
-        let number = request.number;
-        self.counts.joined += 1;
-        if let Some(following) = self.following.get_mut(&number) {
-            following.callers.push(caller);
-            return;
-        }
-        self.log(
-            Kind::JobFollowed,
-            format!("{number} at {peer_name} request {}", request.call),
-        );
-        if let Some(peer) = self.peers.get_mut(peer_name) {
-            peer.out.follow.push(number.0);
-        }
-        let following = Following {
-            peer: peer_name.to_owned(),
-            callers: vec![caller],
-            request,
-            handed: false,
-        };
-        self.following.insert(number, following);
-    }
-
-    /// Passes a cancel on to the peer that has the job; whether there is one.
-    pub(super) fn cancel_at_peer(&mut self, number: JobNumber) -> bool {
-        let name = self.linked_holder(number);
-        let Some(peer) = name.and_then(|name| self.peers.get_mut(&name)) else {
-            return false;
-        };
-        peer.out.cancel.push(number.0);
-        true
-    }
-
     /// Sends every peer a heartbeat at once.
     pub(super) fn hurry_heartbeats(&mut self) {
         for peer in self.peers.values_mut() {
@@ -476,7 +368,7 @@
     }
 
     /// A peer has a job that is held here, too: one of the two has to give way at the executors.
-    fn note_rival(&mut self, _name: &str, number: JobNumber) {
+    fn note_rival(&mut self, number: JobNumber) {
         let now = self.now;
         if let Some(job) = self.jobs.get_mut(&number) {
             self.gap = now;
