scheduler: what it sees of an executor stands in a module of its own

The view is `executor_view.rs` now, with one method for what a new link resets, and the order in which others are chosen is `dispatch/rank.rs`, for a second user to come.

--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -13,6 +13,7 @@
 pub mod executor;
 pub mod model;
 pub mod policy;
+pub mod rank;
 pub mod scheduler;
 pub mod timings;
 pub mod zones;
--- a/lib/src/dispatch/scheduler/cell.rs
+++ b/lib/src/dispatch/scheduler/cell.rs
@@ -13,7 +13,7 @@
 
 use super::Scheduler;
 use super::fleet::ExecutorKey;
-use super::rank::Rank;
+use crate::dispatch::rank::Rank;
 use crate::prelude::*;
 
 /// Where a fleet is more than one cell, tasks are placed at an executor this long after it was taken into the cell,
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::Scheduler;
+use super::executor_view::ExecutorView;
 use super::fleet::ExecutorKey;
-use super::fleet::ExecutorView;
 use super::jobs::Job;
 use super::jobs::Phase;
 use super::peers::Peer;
--- a/lib/src/dispatch/scheduler/pace.rs
+++ b/lib/src/dispatch/scheduler/pace.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::Scheduler;
+use super::executor_view::ExecutorView;
 use super::fleet::ExecutorKey;
-use super::fleet::ExecutorView;
 use super::jobs::Job;
 use super::jobs::TaskState;
 use crate::dispatch::model::Demand;
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -365,7 +365,10 @@
 }
 
 /// Whether a worker has what a step requires.
-fn suits(executor: &super::fleet::ExecutorView, step: &crate::dispatch::model::Step) -> bool {
+fn suits(
+    executor: &super::executor_view::ExecutorView,
+    step: &crate::dispatch::model::Step,
+) -> bool {
     let labels = &executor.profile.labels;
     let all = step.demand.fits(Demand::default(), executor.capacity);
     all && (step.requirement.is_empty() || labels.contains(&step.requirement))
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -4,7 +4,7 @@
 use super::CallerId;
 use super::Ended;
 use super::Scheduler;
-use super::fleet::ExecutorView;
+use super::executor_view::ExecutorView;
 use super::jobs::Job;
 use super::jobs::TaskState;
 use crate::dispatch::model::JobNumber;
