dispatch: a large fleet is divided into partitions, and jobs are forwarded to theirs

Cause: with every scheduler linked to every executor and peer, what a process sends, holds and computes grows with the fleet, and the fleet's links with its square: 164,000 at 984 machines.

Ruled out, by count (`docs/design/fleet.md`): homes by id for the knowledge of a job alone, since its executors may still be any; candidate sets by id, since the links stay as many; cells that are formed from views of the members, since an id has to be tied to a place that two views agree on.

Change: a process belongs to the partition of its name's hash and a job to that of its id's; only processes of one partition are linked. The forwarder hands jobs of other partitions to one scheduler there, as a caller would, and to a second one only when a caller would come again. Wire messages, events SC223, SC409, SC415 and the section `partitions` of the policy come with it; nothing uses them yet.

--- a/lib/daemon/src/dispatch/traffic.rs
+++ b/lib/daemon/src/dispatch/traffic.rs
@@ -9,7 +9,14 @@
 use stackcourse_lib::protos::dispatch::frame::Body;
 
 /// Kinds of frames, as the metrics name them.
-const KINDS: [&str; 4] = ["greeting", "orders", "update", "peer"];
+const KINDS: [&str; 6] = [
+    "greeting",
+    "orders",
+    "update",
+    "peer",
+    "forward",
+    "forward-reply",
+];
 
 fn kind_of(body: &Body) -> usize {
     match body {
@@ -17,6 +24,8 @@
         Body::Orders(_) => 1,
         Body::Update(_) => 2,
         Body::Peer(_) => 3,
+        Body::Forward(_) => 4,
+        Body::ForwardReply(_) => 5,
     }
 }
 
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -5,13 +5,17 @@
 //! and is alone in giving it orders, so it is the authority on the worker's room. Schedulers hold
 //! leases at executors; when a lease runs out, the executor stops what runs for that scheduler.
 //!
-//! Both are state machines without input or output of their own, like everything in this crate.
+//! A large fleet is divided into [`partition`]s; a [`forwarder`] hands on the jobs of others.
+//!
+//! All are state machines without input or output of their own, like everything in this crate.
 //! `docs/design/platform.md` says why the work is divided in this way.
 
 pub mod catalog;
 pub mod crashes;
 pub mod executor;
+pub mod forwarder;
 pub mod model;
+pub mod partition;
 pub mod policy;
 pub mod rank;
 pub mod scheduler;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -267,6 +267,7 @@
             zone: self.setup.zone.clone(),
             incarnation: self.setup.incarnation,
             address: String::new(),
+            ..proto::Greeting::default()
         }
     }
 
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde_json::Value;
@@ -203,6 +204,36 @@
     }
 }
 
+section! {
+    /// How large a fleet is divided, and how jobs of other partitions are forwarded.
+    Partitions ("partitions") {
+        /// A fleet is divided until a partition has no more executors than this in the mean. Hashes leave its parts unequal by some of a hundred: the larger they are, the less that matters under load.
+        executors: count = 256, 1..=100_000;
+        /// It is divided no further than leaves each partition so many schedulers, of which most may be lost at once.
+        schedulers: count = 8, 1..=100_000;
+        /// A forwarded job is handed to another scheduler this long after the link to the first broke, so that its peers have noticed as well. A caller whose connection broke takes 50 ms; twice that.
+        again_broken: ms = 100, 1..=60_000;
+        /// It is handed to another this long after it was sent, if nothing comes from the first. Not below `claims.again_after_ms`.
+        again_silent: ms = 1300, 1..=60_000;
+        /// A scheduler to which jobs are forwarded is heard at least this often meanwhile.
+        heartbeat: ms = 200, 10..=10_000;
+        /// One that is not heard for so long meanwhile is sent nothing more. Three heartbeats and a half.
+        silence: ms = 700, 20..=60_000;
+        /// One that could not be reached is tried again after this long.
+        avoid: ms = 1000, 1..=60_000;
+        /// Of each other partition so many schedulers are remembered, those that come first. Where half of all machines are lost, one in four thousand lists then has nobody left.
+        candidates: count = 12, 1..=1000;
+        /// A link over which nothing was forwarded for so long is closed.
+        idle: ms = 30_000, 100..=3_600_000;
+        /// The schedulers of one other partition are read again this often, one partition after the other.
+        refresh: ms = 3000, 100..=600_000;
+        /// Before a fleet is divided for the first time, its processes have so long to appear.
+        appear: ms = 700, 0..=600_000;
+        /// They are counted again this often, until two counts agree.
+        count_again: ms = 400, 10..=60_000;
+    }
+}
+
 section! {
     /// How a scheduler comes by the newest configuration.
     Catalogs ("catalog") {
@@ -339,6 +370,8 @@
     reports: Reports,
     /// At which executors a scheduler places tasks.
     cells: Cells,
+    /// How a large fleet is divided.
+    partitions: Partitions,
     /// How the newest configuration is come by.
     catalog: Catalogs,
     /// Who may decide about a job.
@@ -351,6 +384,15 @@
     links: Links,
 }
 
+impl Admission {
+    /// When a caller that is refused comes back, in milliseconds. Callers are spread, so that they do not all come at once.
+    pub fn come_back_ms(&self, rng: &mut impl Rng) -> u32 {
+        let [base, spread] = [self.retry_base, self.retry_spread];
+        let [base, spread] = [base, spread].map(|span| crate::clock::millis(span) as u32);
+        base + rng.random_range(0..spread)
+    }
+}
+
 /// A worker's clock may be this much slow.
 const SLOW_CLOCK: f64 = 1.02;
 
@@ -384,6 +426,15 @@
             let message = "must be at least twice `heartbeat_ms`: else links on standby are closed";
             findings.add("/cells/silence_ms", message);
         }
+        if self.partitions.again_silent < self.claims.again_after {
+            let message = "must not be below `again_after_ms` of `claims`: a job that comes again \
+                           sooner may not have been announced";
+            findings.add("/partitions/again_silent_ms", message);
+        }
+        if self.partitions.silence < self.partitions.heartbeat * 2 {
+            let message = "must be at least twice `heartbeat_ms`: else links in use are given up";
+            findings.add("/partitions/silence_ms", message);
+        }
         if self.links.connect_first > self.links.greeting {
             findings.add("/links/connect_first_ms", "must not be above `greeting_ms`");
         }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -381,6 +381,7 @@
             zone: self.setup.zone.clone(),
             incarnation: self.setup.incarnation,
             address: self.setup.address.clone(),
+            ..proto::Greeting::default()
         }
     }
 
--- a/lib/src/dispatch/scheduler/handing.rs
+++ b/lib/src/dispatch/scheduler/handing.rs
@@ -94,7 +94,7 @@
 
 impl JobRequest {
     /// As it travels.
-    pub(super) fn proto(&self) -> proto::HandedJob {
+    pub fn proto(&self) -> proto::HandedJob {
         let step = |s: &crate::dispatch::model::Step| proto::JobStep {
             count: s.count,
             demand: Some(s.demand.proto()),
@@ -116,7 +116,7 @@
     }
 
     /// Reads it from a message.
-    pub(super) fn from_proto(handed: &proto::HandedJob) -> JobRequest {
+    pub fn from_proto(handed: &proto::HandedJob) -> JobRequest {
         let step = |s: &proto::JobStep| crate::dispatch::model::Step {
             count: s.count,
             demand: crate::dispatch::model::Demand::from_proto(s.demand),
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -147,7 +147,7 @@
                     self.peer_update(&name, update);
                 }
             }
-            proto::frame::Body::Greeting(_) | proto::frame::Body::Orders(_) => {}
+            _ => {}
         }
     }
 
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -178,11 +178,7 @@
 
     /// A refusal with a time to come back that spreads the callers.
     pub(super) fn refusal(&mut self) -> JobOutcome {
-        let policy = self.setup.policy.admission;
-        let base = crate::clock::millis(policy.retry_base) as u32;
-        let spread = crate::clock::millis(policy.retry_spread) as u32;
-        let spread = rand::Rng::random_range(&mut self.rng, 0..spread);
-        JobOutcome::Refused(base + spread)
+        JobOutcome::Refused(self.setup.policy.admission.come_back_ms(&mut self.rng))
     }
 
     /// A caller has left. A job that nobody waits for is cancelled.
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -65,6 +65,7 @@
     AgentEnrolled = 220, Info, "agents were enrolled in the roster";
     AgentGone = 221, Warn, "agents were struck from the roster";
     RosterKnown = 222, Info, "the names of the executors were read from the store";
+    FleetDivided = 223, Info, "it is known into how many partitions the fleet is divided";
     SwapLost = 230, Warn, "the answer to a write was lost; the record is read back";
     StoreAway = 231, Warn, "the store does not answer";
     StoreBack = 232, Info, "the store answers again";
@@ -90,11 +91,13 @@
     TasksPlaced = 406, Info, "tasks of a job were sent to an executor";
     JobJoined = 407, Info, "a job came again and is answered with the one that is held or has ended here";
     JobHanded = 408, Info, "a job would outlast this process, which leaves; a peer runs it";
+    JobForwarded = 409, Info, "a job of another partition is handed to a scheduler there";
     TaskAgain = 410, Info, "a task is to be placed again";
     TaskMoved = 411, Info, "a run goes slowly and is stopped, to run elsewhere";
     TaskCrashes = 412, Warn, "workers crash under a task; it is given up, and its job with it";
     QueueConfined = 413, Warn, "workers crash under tasks of a queue; they are confined to a part of the workers";
     QueueOpen = 414, Info, "the tasks of a queue are not confined any more";
+    ForwardFailed = 415, Warn, "no scheduler of its partition can be reached for a request";
     WorkerUp = 420, Info, "a worker has registered";
     WorkerReady = 421, Info, "a worker takes tasks";
     WorkerDraining = 422, Info, "a worker is leaving and takes no new tasks";
--- a/lib/testutils/src/dispatch/world/links.rs
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -16,6 +16,8 @@
         Body::Orders(m) => m.encoded_len(),
         Body::Update(m) => m.encoded_len(),
         Body::Peer(m) => m.encoded_len(),
+        Body::Forward(m) => m.encoded_len(),
+        Body::ForwardReply(m) => m.encoded_len(),
     };
     bytes as u64
 }
