daemon, platform: processes link within their partition and forward the jobs of others

Change: the number of partitions is a record of the store, created once by the first entry that counts the fleet's processes twice alike; a process whose store is silent learns it, and entries of its partition, from a seed. Keys of processes stand under the digits of their hash, so each process reads and watches its partition only. Seeds are asked only while the store does not answer: asked always, 984 processes would dial three of them at once.

Five new tests of real processes; all others as before.

--- a/cli/tests/runner/test_platform.rs
+++ b/cli/tests/runner/test_platform.rs
@@ -432,6 +432,110 @@
     }
 }
 
+#[actix_rt::test]
+async fn test_platform_soak_of_a_divided_fleet_keeps_every_promise() {
+    let logs = std::env::temp_dir().join("stackcourse-soak-divided");
+    let plan = SoakPlan {
+        keep: Some(logs.clone()),
+        ..SoakPlan::divided(1, Duration::from_secs(8))
+    };
+    let report = soak::run(binary(), &plan).await;
+    let kept = format!("logs in {}: {report:?}", logs.display());
+    assert_eq!(report.violation, None, "{kept}");
+    assert!(report.is_good(), "did not recover: {kept}");
+}
+
+/// Every entry serves every job, though it is linked to the agents of its partition only.
+#[actix_rt::test]
+async fn test_platform_divided_fleet_serves_every_job_at_every_entry() {
+    let fleet = Fleet::start_divided(binary(), 6, 8).await;
+    assert_eq!(fleet.partitions.count(), 2);
+    let mut number = 0;
+    let mut foreign = 0;
+    for (at, entry) in fleet.entries.iter().enumerate() {
+        let own = fleet.partitions.of_name(&format!("entry-{at}"));
+        let linked = fleet::metric(entry.metrics(), "state", "executors_linked").await;
+        assert!(linked < Some(8), "{linked:?} agents linked to one entry");
+        for _ in 0..6 {
+            number += 1;
+            foreign += usize::from(fleet.partitions.of_job(JobNumber(number)) != own);
+            let got = callers::hand_in(&fleet.workers, entry.callers(), job(number, 3, 30)).await;
+            assert_eq!((got.status, got.state.as_str()), (200, "completed"));
+        }
+    }
+    let forwarded = |m: &Machine| m.log_text().matches("SC409").count();
+    eventually(
+        "each job of the other partition is forwarded once",
+        async || fleet.entries.iter().map(forwarded).sum::<usize>() == foreign,
+    )
+    .await;
+    assert_eq!(fleet.violation(), None);
+}
+
+/// A job that comes again at an entry of another partition than the one that runs it stays one.
+#[actix_rt::test]
+async fn test_platform_divided_fleet_keeps_a_job_one_that_comes_again_anywhere() {
+    let fleet = Fleet::start_divided(binary(), 6, 8).await;
+    for number in 1..4 {
+        let slow = job(number, 3, 700);
+        let calls = fleet.entries.iter().enumerate().map(|(wait, entry)| {
+            let (workers, at) = (fleet.workers.clone(), entry.callers());
+            async move {
+                actix_rt::time::sleep(Duration::from_millis(120 * wait as u64)).await;
+                callers::hand_in(&workers, at, slow).await
+            }
+        });
+        for got in futures::future::join_all(calls).await {
+            assert_eq!(got.state, "completed");
+        }
+    }
+    assert_eq!(fleet.violation(), None);
+}
+
+/// A planned stop of an entry cuts no job that it has forwarded.
+#[actix_rt::test]
+async fn test_platform_divided_fleet_an_entry_that_stops_answers_what_it_forwarded() {
+    let mut fleet = Fleet::start_divided(binary(), 6, 8).await;
+    let at = fleet.entries[0].callers();
+    let own = fleet.partitions.of_name("entry-0");
+    let foreign = (1..).filter(|n| fleet.partitions.of_job(JobNumber(*n)) != own);
+    let jobs: Vec<u64> = foreign.take(3).collect();
+    let calls = jobs.iter().map(|number| {
+        let workers = fleet.workers.clone();
+        let slow = job(*number, 2, 3_000);
+        async move { callers::hand_in(&workers, at, slow).await }
+    });
+    let calls = actix_rt::spawn(futures::future::join_all(calls.collect::<Vec<_>>()));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let stopping = fleet.entries.remove(0);
+    let stopped = actix_rt::task::spawn_blocking(move || {
+        let mut stopping = stopping;
+        stopping.stop(Duration::from_secs(8))
+    });
+    for got in calls.await.expect("the callers are answered") {
+        assert_eq!(got.state, "completed");
+    }
+    assert!(stopped.await.expect("it stops"), "the entry ends well");
+}
+
+/// A job whose caller cancels it at another entry ends, wherever it runs.
+#[actix_rt::test]
+async fn test_platform_divided_fleet_cancels_a_job_from_any_entry() {
+    let fleet = Fleet::start_divided(binary(), 6, 8).await;
+    for number in 1..4 {
+        let at = fleet.entries[0].callers();
+        let running = callers::hand_in(&fleet.workers, at, job(number, 2, 5_000));
+        let cancel = async {
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+            let path = format!("{PREFIX}{}", JobNumber(number));
+            callers::call(fleet.entries[5].callers(), "DELETE", &path, None).await
+        };
+        let (ran, cancelled) = futures::future::join(running, cancel).await;
+        assert_eq!(cancelled.status, 200);
+        assert_eq!(ran.state, "cancelled");
+    }
+}
+
 async fn page_of(machine: &Machine) -> String {
     let page = fleet::metrics_page(machine.metrics()).await;
     page.expect("a metrics page")
--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -5,8 +5,10 @@
 //! happens is handed to it, and what it wants done is done before the next thing is looked at.
 
 pub mod channel;
+pub mod division;
 pub mod executor_host;
 pub mod follow;
+pub mod forwarding;
 pub mod http;
 pub mod lag;
 pub mod links;
--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -49,6 +49,23 @@
     /// The other end did not begin with a greeting.
     #[error("the other end did not begin with a greeting")]
     NoGreeting,
+    /// The other end is not one to be linked with, nor will be.
+    #[error("the other end is of another partition")]
+    Foreign,
+    /// It is not known yet whether the other end is one to be linked with.
+    #[error("it is not known yet how the fleet is divided")]
+    Undivided,
+}
+
+/// Whether a link is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// It is.
+    Yes,
+    /// It is not known yet.
+    NotYet,
+    /// It is not, and won't be.
+    Never,
 }
 
 /// Why a link is over.
@@ -97,7 +114,13 @@
     /// The greeting to send.
     fn greeting(&self) -> proto::Greeting;
     /// Whether a link to this process is wanted.
-    fn wants(&self, theirs: &proto::Greeting) -> bool;
+    fn wants(&self, theirs: &proto::Greeting) -> Wanted;
+    /// The schedulers with which a process should link to which no link is wanted, as far as they are known here.
+    fn directions(&self, _theirs: &proto::Greeting) -> Vec<proto::Member> {
+        Vec::new()
+    }
+    /// A process to which no link is wanted has named schedulers with which this one should link.
+    fn directed(&self, _members: Vec<proto::Member>) {}
     /// A link is up.
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender);
     /// A message came in.
@@ -172,14 +195,44 @@
     let greeting = greet(&mut wire, listener.greeting());
     let timed = tokio::time::timeout(listener.policy().greeting, greeting).await;
     let theirs = timed.map_err(|_| ChannelError::Silent)??;
-    run(wire, theirs, listener).await;
+    match listener.wants(&theirs) {
+        Wanted::Yes => {
+            run(wire, theirs, listener).await;
+            Ok(())
+        }
+        Wanted::NotYet => Err(ChannelError::Undivided),
+        Wanted::Never => {
+            let directing = direct(&mut wire, &theirs, listener);
+            let _ = tokio::time::timeout(listener.policy().greeting, directing).await;
+            Err(ChannelError::Foreign)
+        }
+    }
+}
+
+/// Exchanges directions with a process of another partition, which may not have been able to ask the store.
+async fn direct(
+    wire: &mut Wire,
+    theirs: &proto::Greeting,
+    listener: &impl Listener,
+) -> Result<(), ChannelError> {
+    let members = listener.directions(theirs);
+    if !members.is_empty() {
+        let update = proto::PeerUpdate {
+            members,
+            ..proto::PeerUpdate::default()
+        };
+        wire.send(encode(Body::Peer(update))).await?;
+    }
+    let Some(frame) = wire.next().await else {
+        return Ok(());
+    };
+    if let Some(Body::Peer(update)) = proto::Frame::decode(frame?).ok().and_then(|f| f.body) {
+        listener.directed(update.members);
+    }
     Ok(())
 }
 
 async fn run(wire: Wire, theirs: proto::Greeting, listener: &impl Listener) {
-    if !listener.wants(&theirs) {
-        return;
-    }
     let link = LinkId(NEXT_LINK.fetch_add(1, Ordering::Relaxed));
     let traffic = listener.traffic();
     let (sink, mut stream) = wire.split();
--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -27,6 +27,9 @@
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::channel::Wanted;
+use crate::dispatch::division::Divided;
+use crate::dispatch::division::Division;
 use crate::dispatch::lag::LoopLag;
 use crate::dispatch::links;
 use crate::dispatch::links::Links;
@@ -62,6 +65,7 @@
 
 struct Inner<W> {
     policy: LinkPolicy,
+    division: Division,
     executor: RefCell<Executor>,
     worker: W,
     /// What the worker says of itself, to be kept for the next life.
@@ -73,10 +77,16 @@
 }
 
 impl<W: Worker> ExecutorHost<W> {
-    /// Starts an executor.
-    pub fn start(setup: ExecutorSetup, worker: W, log: LogSink) -> ExecutorHost<W> {
+    /// Starts an executor. `seeds` are asked who there is while the store does not answer.
+    pub fn start(
+        setup: ExecutorSetup,
+        seeds: Vec<SocketAddr>,
+        worker: W,
+        log: LogSink,
+    ) -> ExecutorHost<W> {
         let inner = Inner {
             policy: setup.policy.links,
+            division: Division::new(&setup.name, seeds),
             executor: RefCell::new(Executor::new(setup)),
             worker,
             kept: watch::Sender::default(),
@@ -144,11 +154,13 @@
         self.inner.kept.subscribe()
     }
 
-    /// Keeps a link to the scheduler at this address.
-    pub fn dial(&self, address: SocketAddr) {
+    fn keep_link(&self, address: SocketAddr) {
         if self.inner.links.begin(address) {
             let host = self.clone();
-            actix_rt::spawn(links::keep(address, host, || false));
+            actix_rt::spawn(async move {
+                links::keep(address, host.clone(), || false).await;
+                host.inner.links.end(address);
+            });
         }
     }
 
@@ -195,17 +207,47 @@
     }
 }
 
+impl<W: Worker> Divided for ExecutorHost<W> {
+    fn division(&self) -> &Division {
+        &self.inner.division
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        self.keep_link(address);
+    }
+
+    fn log(&self, kind: Kind, detail: String) {
+        ExecutorHost::log(self, kind, detail);
+    }
+}
+
 impl<W: Worker> Listener for ExecutorHost<W> {
     fn policy(&self) -> LinkPolicy {
         self.inner.policy
     }
 
     fn greeting(&self) -> proto::Greeting {
-        self.read(Executor::greeting)
+        proto::Greeting {
+            divided: self.inner.division.told(),
+            ..self.read(Executor::greeting)
+        }
+    }
+
+    fn wants(&self, theirs: &proto::Greeting) -> Wanted {
+        if theirs.executor {
+            return Wanted::Never;
+        }
+        if self.inner.division.hear(theirs) {
+            let detail = self.inner.division.describe(&theirs.name);
+            self.log(Kind::FleetDivided, detail);
+        }
+        self.inner.division.wants(theirs)
     }
 
-    fn wants(&self, theirs: &proto::Greeting) -> bool {
-        !theirs.executor
+    fn directed(&self, members: Vec<proto::Member>) {
+        links::addresses(&members)
+            .into_iter()
+            .for_each(|address| self.dial(address));
     }
 
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -40,6 +40,8 @@
     }
     /// The store has answered: what was told is what it holds.
     fn confirmed(&self) {}
+    /// The store does not answer, though it did before or was only just asked.
+    fn away(&self) {}
     /// Writes a log line.
     fn log(&self, kind: Kind, detail: String);
     /// The longest pause between tries while the store does not answer.
@@ -50,8 +52,8 @@
 
 /// What is watched: keys that begin with a prefix, after revision `at`, for up to `wait` a call.
 #[derive(Clone, Copy, Debug)]
-struct Watching {
-    prefix: &'static str,
+struct Watching<'a> {
+    prefix: &'a str,
     at: u64,
     wait: Duration,
 }
@@ -87,7 +89,7 @@
 /// long one watch waits.
 pub async fn follow<S: KeyStore, F: Follower>(
     store: Rc<S>,
-    prefix: &'static str,
+    prefix: String,
     wait: Duration,
     follower: F,
 ) {
@@ -95,19 +97,20 @@
     let faults = FaultLog::default();
     let mut pause = RETRY.0;
     loop {
-        let read = store.list(prefix).await;
+        let read = store.list(&prefix).await;
         match read {
             Ok((items, at)) => {
-                note_back(&follower, &away, prefix);
+                note_back(&follower, &away, &prefix);
                 pause = RETRY.0;
                 items.iter().for_each(|item| faults.note(&follower, item));
                 follower.listed(&items, at);
                 follower.confirmed();
+                let prefix = prefix.as_str();
                 let from = Watching { prefix, at, wait };
                 let error = watch(&*store, from, &follower, &faults).await;
                 note_away(&follower, &away, prefix, &error);
             }
-            Err(error) => note_away(&follower, &away, prefix, &error),
+            Err(error) => note_away(&follower, &away, &prefix, &error),
         }
         let longest = follower.longest_pause();
         actix_rt::time::sleep(jitter(pause.min(longest))).await;
@@ -118,7 +121,7 @@
 /// Watches from a revision on until that fails.
 async fn watch<S: KeyStore, F: Follower>(
     store: &S,
-    from: Watching,
+    from: Watching<'_>,
     follower: &F,
     faults: &FaultLog,
 ) -> StoreError {
@@ -145,6 +148,7 @@
 
 fn note_away<F: Follower>(follower: &F, away: &Cell<bool>, prefix: &str, error: &StoreError) {
     if !away.replace(true) {
+        follower.away();
         follower.log(Kind::StoreAway, format!("watching {prefix}: {error}"));
     }
 }
--- /dev/null
+++ b/lib/daemon/src/dispatch/forwarding.rs
@@ -0,0 +1,352 @@
+//! Jobs of other partitions under the real runtime: a forwarder and its links, and the jobs that other entries forward.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use stackcourse_lib::dispatch::forwarder::Action;
+use stackcourse_lib::dispatch::forwarder::Forwarder;
+use stackcourse_lib::dispatch::model::JobNumber;
+use stackcourse_lib::dispatch::model::JobOutcome;
+use stackcourse_lib::dispatch::model::JobRequest;
+use stackcourse_lib::dispatch::partition::Partition;
+use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
+use stackcourse_lib::dispatch::scheduler::CallerId;
+use stackcourse_lib::dispatch::scheduler::Scheduler;
+use stackcourse_lib::event::Kind;
+use stackcourse_lib::prelude::LinkId;
+use stackcourse_lib::protos::dispatch as proto;
+use stackcourse_lib::protos::dispatch::frame::Body;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::dispatch::channel;
+use crate::dispatch::channel::ChannelSender;
+use crate::dispatch::channel::LinkEnd;
+use crate::dispatch::channel::Listener;
+use crate::dispatch::channel::Wanted;
+use crate::dispatch::links::Links;
+use crate::dispatch::scheduler_host::SchedulerHost;
+use crate::dispatch::traffic::Traffic;
+
+/// Time passes for the forwarder in steps of this.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A forwarder, its links and its callers. Cheap to clone.
+#[derive(Clone)]
+pub struct ForwarderHost {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    host: SchedulerHost,
+    forwarder: RefCell<Forwarder>,
+    links: Links,
+    callers: RefCell<HashMap<CallerId, oneshot::Sender<JobOutcome>>>,
+    next_caller: Cell<u64>,
+    wanted: mpsc::UnboundedSender<Partition>,
+}
+
+/// The answer to a forwarded request. Dropping it before it has come takes the request back.
+pub struct Reply {
+    host: ForwarderHost,
+    caller: CallerId,
+    receiver: oneshot::Receiver<JobOutcome>,
+    done: bool,
+}
+
+impl Reply {
+    /// Waits for it.
+    pub async fn outcome(mut self) -> JobOutcome {
+        let outcome = (&mut self.receiver).await;
+        self.done = true;
+        outcome.unwrap_or(JobOutcome::Unknown)
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if !self.done {
+            self.host.inner.callers.borrow_mut().remove(&self.caller);
+            self.host
+                .with(|f| f.caller_left(self.host.inner.host.now(), self.caller));
+        }
+    }
+}
+
+impl ForwarderHost {
+    /// Starts a forwarder beside a scheduler. The partitions whose schedulers it wants to be read come out of the
+    /// receiver.
+    pub fn start(
+        host: &SchedulerHost,
+        forwarder: Forwarder,
+    ) -> (ForwarderHost, mpsc::UnboundedReceiver<Partition>) {
+        let (wanted, reading) = mpsc::unbounded_channel();
+        let inner = Inner {
+            host: host.clone(),
+            forwarder: RefCell::new(forwarder),
+            links: Links::default(),
+            callers: RefCell::default(),
+            next_caller: Cell::new(1),
+            wanted,
+        };
+        let forwarding = ForwarderHost {
+            inner: Rc::new(inner),
+        };
+        let ticking = forwarding.clone();
+        actix_rt::spawn(async move {
+            loop {
+                let now = ticking.inner.host.now();
+                ticking.with(|f| f.tick(now));
+                actix_rt::time::sleep(TICK).await;
+            }
+        });
+        (forwarding, reading)
+    }
+
+    /// Gives the forwarder something to do, and does what it wants done.
+    pub fn with<R>(&self, work: impl FnOnce(&mut Forwarder) -> R) -> R {
+        let (result, actions) = {
+            let mut forwarder = self.inner.forwarder.borrow_mut();
+            let result = work(&mut forwarder);
+            (result, forwarder.take_actions())
+        };
+        for action in actions {
+            self.perform(action);
+        }
+        result
+    }
+
+    /// Reads something of the forwarder.
+    pub fn read<R>(&self, read: impl FnOnce(&Forwarder) -> R) -> R {
+        read(&self.inner.forwarder.borrow())
+    }
+
+    /// Whether a job is of another partition.
+    pub fn is_foreign(&self, number: JobNumber) -> bool {
+        self.read(|f| f.partitions().of_job(number) != f.own())
+    }
+
+    /// Hands in a job of another partition.
+    pub fn submit(&self, request: JobRequest) -> Reply {
+        let now = self.inner.host.now();
+        self.ask(|f, caller| f.submit(now, caller, request))
+    }
+
+    /// Cancels a job of another partition.
+    pub fn cancel(&self, number: JobNumber) -> Reply {
+        let now = self.inner.host.now();
+        self.ask(|f, caller| f.cancel(now, caller, number))
+    }
+
+    fn ask(&self, ask: impl FnOnce(&mut Forwarder, CallerId)) -> Reply {
+        let caller = CallerId(self.inner.next_caller.get());
+        self.inner.next_caller.set(caller.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.inner.callers.borrow_mut().insert(caller, sender);
+        self.with(|f| ask(f, caller));
+        Reply {
+            host: self.clone(),
+            caller,
+            receiver,
+            done: false,
+        }
+    }
+
+    fn perform(&self, action: Action) {
+        match action {
+            Action::Dial(name, address) => self.dial(name, &address),
+            Action::Send(link, forward) => self.inner.links.send(link, Body::Forward(forward)),
+            Action::Close(link) => self.inner.links.remove(link),
+            Action::Answer(caller, outcome) => {
+                if let Some(sender) = self.inner.callers.borrow_mut().remove(&caller) {
+                    let _ = sender.send(outcome);
+                }
+            }
+            Action::Read(partition) => {
+                // It is read by a task that ends with the process.
+                let _ = self.inner.wanted.send(partition);
+            }
+            Action::Log(event) => self.inner.host.log_event(&event),
+        }
+    }
+
+    fn dial(&self, name: String, address: &str) {
+        let address: Result<SocketAddr, _> = address.parse();
+        let host = self.clone();
+        actix_rt::spawn(async move {
+            if let Ok(address) = address {
+                let patience = host.policy().connect_first;
+                if let Err(e) = channel::dial(address, patience, &host).await {
+                    let detail = format!("forwarding to {name}: {e}");
+                    host.inner.host.log(Kind::LinkDown, detail);
+                }
+            }
+            let now = host.inner.host.now();
+            host.with(|f| f.unreached(now, &name));
+        });
+    }
+}
+
+impl Listener for ForwarderHost {
+    fn policy(&self) -> LinkPolicy {
+        self.inner.host.policy()
+    }
+
+    fn greeting(&self) -> proto::Greeting {
+        proto::Greeting {
+            forwards: true,
+            ..self.inner.host.greeting()
+        }
+    }
+
+    fn wants(&self, theirs: &proto::Greeting) -> Wanted {
+        match theirs.executor {
+            true => Wanted::Never,
+            false => Wanted::Yes,
+        }
+    }
+
+    fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
+        self.inner.links.insert(link, sender);
+        let now = self.inner.host.now();
+        self.with(|f| f.link_up(now, &theirs.name, link));
+    }
+
+    fn message(&self, link: LinkId, body: Body) {
+        if let Body::ForwardReply(reply) = body {
+            let now = self.inner.host.now();
+            self.with(|f| f.message(now, link, &reply));
+        }
+    }
+
+    fn down(&self, link: LinkId, theirs: &proto::Greeting, end: LinkEnd) {
+        self.inner.links.remove(link);
+        let host = &self.inner.host;
+        host.log(
+            Kind::LinkEnded,
+            format!("forwarding to {}: {end}", theirs.name),
+        );
+        self.with(|f| f.link_down(host.now(), link));
+    }
+
+    fn traffic(&self) -> Rc<Traffic> {
+        self.inner.host.traffic()
+    }
+}
+
+/// The links on which other entries forward jobs to this one.
+#[derive(Default)]
+pub(super) struct Inbound {
+    links: RefCell<HashMap<LinkId, InboundLink>>,
+}
+
+struct InboundLink {
+    /// What runs for its callers.
+    open: HashMap<u64, JoinHandle<()>>,
+    beating: JoinHandle<()>,
+}
+
+impl Inbound {
+    /// Whether a link is one of these.
+    pub fn holds(&self, link: LinkId) -> bool {
+        self.links.borrow().contains_key(&link)
+    }
+
+    /// Notes a link that is up.
+    pub fn up(&self, host: &SchedulerHost, link: LinkId) {
+        let opened = InboundLink {
+            open: HashMap::new(),
+            beating: actix_rt::spawn(beat(host.clone(), link)),
+        };
+        self.links.borrow_mut().insert(link, opened);
+    }
+
+    /// Gives up what a link has forwarded; whether it is one of these.
+    pub fn down(&self, link: LinkId) -> bool {
+        let Some(closed) = self.links.borrow_mut().remove(&link) else {
+            return false;
+        };
+        closed.beating.abort();
+        closed.open.into_values().for_each(|task| task.abort());
+        true
+    }
+
+    /// Takes what is forwarded.
+    pub fn message(&self, host: &SchedulerHost, link: LinkId, forward: proto::Forward) {
+        for caller in forward.left {
+            if let Some(task) = self.remove(link, caller) {
+                task.abort();
+            }
+        }
+        for job in forward.jobs {
+            let request = job.job.as_ref().map(JobRequest::from_proto);
+            if let Some(request) = request {
+                let task = actix_rt::spawn(run(host.clone(), link, job.caller, request));
+                self.insert(link, job.caller, task);
+            }
+        }
+        for cancel in forward.cancels {
+            let known = host.with(|s, now| s.cancel(now, JobNumber(cancel.job)));
+            let outcome = match known {
+                true => JobOutcome::Cancelled,
+                false => JobOutcome::Unknown,
+            };
+            host.reply(link, Some((cancel.caller, outcome)));
+        }
+    }
+
+    fn insert(&self, link: LinkId, caller: u64, task: JoinHandle<()>) {
+        if let Some(known) = self.links.borrow_mut().get_mut(&link) {
+            known.open.insert(caller, task);
+        }
+    }
+
+    fn remove(&self, link: LinkId, caller: u64) -> Option<JoinHandle<()>> {
+        self.links.borrow_mut().get_mut(&link)?.open.remove(&caller)
+    }
+
+    fn is_idle(&self, link: LinkId) -> bool {
+        let links = self.links.borrow();
+        links.get(&link).is_none_or(|known| known.open.is_empty())
+    }
+}
+
+/// Runs a forwarded job and tells how it ended.
+async fn run(host: SchedulerHost, link: LinkId, caller: u64, request: JobRequest) {
+    let outcome = match request.check() {
+        Ok(()) if host.is_foreign(request.number) => {
+            let detail = format!(
+                "{} forwarded to another partition than its own",
+                request.number
+            );
+            host.log(Kind::ForwardFailed, detail);
+            JobOutcome::Unknown
+        }
+        Ok(()) => host.submit_here(request).outcome().await,
+        Err(error) => {
+            let detail = format!("{} forwarded: {error}", request.number);
+            host.log(Kind::JobRefused, detail);
+            JobOutcome::Failed
+        }
+    };
+    host.inbound().remove(link, caller);
+    host.reply(link, Some((caller, outcome)));
+}
+
+/// Tells the other end that this process lives while jobs are at work for it, and when its readiness has changed.
+async fn beat(host: SchedulerHost, link: LinkId) {
+    let mut told = true;
+    loop {
+        actix_rt::time::sleep(host.forward_heartbeat()).await;
+        let ready = host.read(Scheduler::is_ready);
+        if ready != told || !host.inbound().is_idle(link) {
+            host.reply(link, None);
+        }
+        told = ready;
+    }
+}
--- a/lib/daemon/src/dispatch/links.rs
+++ b/lib/daemon/src/dispatch/links.rs
@@ -13,6 +13,7 @@
 use stackcourse_lib::protos::dispatch::frame::Body;
 
 use crate::dispatch::channel;
+use crate::dispatch::channel::ChannelError;
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::Listener;
 use crate::dispatch::traffic::Traffic;
@@ -48,6 +49,11 @@
     pub fn begin(&self, address: SocketAddr) -> bool {
         self.dialling.borrow_mut().insert(address)
     }
+
+    /// Notes that an address is connected to no more.
+    pub fn end(&self, address: SocketAddr) {
+        self.dialling.borrow_mut().remove(&address);
+    }
 }
 
 /// The addresses of members, as far as they can be read.
@@ -56,8 +62,8 @@
     members.iter().filter_map(parse).collect()
 }
 
-/// Keeps a link to an address for as long as the process lives. While `linked` says that there is
-/// one already, it only looks again.
+/// Keeps a link to an address for as long as the process lives, or until the process there is found to be of another
+/// partition. While `linked` says that there is a link already, it only looks again.
 pub async fn keep<L: Listener>(address: SocketAddr, listener: L, linked: impl Fn() -> bool) {
     let policy = listener.policy();
     let mut wait = policy.redial_first;
@@ -72,6 +78,7 @@
                 wait = policy.redial_first;
                 patience = policy.connect_first;
             }
+            Err(ChannelError::Foreign) => return,
             Err(_) => patience = (patience * 2).min(policy.greeting),
         }
         actix_rt::time::sleep(jitter(wait)).await;
--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -9,6 +9,7 @@
 use prometheus::TextEncoder;
 use stackcourse_lib::clock;
 use stackcourse_lib::dispatch::executor::Executor;
+use stackcourse_lib::dispatch::forwarder::Forwarder;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
 use stackcourse_lib::prelude::Mono;
 
@@ -197,6 +198,32 @@
     page.text()
 }
 
+/// The metrics of a forwarder.
+pub fn of_forwarder(forwarder: &Forwarder) -> String {
+    let page = Page {
+        registry: Registry::new(),
+    };
+    let counts = forwarder.counts();
+    let forwarded = [
+        ("requests", counts.requests),
+        ("frames", counts.frames),
+        ("again", counts.again),
+        ("unplaced", counts.unplaced),
+    ];
+    let help = "Requests of other partitions: how many came, the frames that took them there, how \
+                many were sent again and how many nobody could be found for.";
+    page.counters("forward_total", help, "kind", forwarded.into_iter());
+    let [open, links, partitions] = forwarder.load().map(|n| n as i64);
+    let held = [
+        ("open", open),
+        ("links", links),
+        ("partitions", partitions),
+        ("partition", forwarder.own().number() as i64),
+    ];
+    page.gauges("forward_state", "What the forwarder holds now.", &held);
+    page.text()
+}
+
 /// A counter of calls to the store, by kind and result.
 pub fn call_counter() -> IntCounterVec {
     let help = "Calls to the store, by kind and result.";
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -1,16 +1,19 @@
 //! A scheduler under the real runtime.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use stackcourse_lib::dispatch::forwarder::Forwarder;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
 use stackcourse_lib::dispatch::model::JobRequest;
 use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
+use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::dispatch::scheduler::Action;
 use stackcourse_lib::dispatch::scheduler::CallerId;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
@@ -28,6 +31,12 @@
 use crate::dispatch::channel::ChannelSender;
 use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::Listener;
+use crate::dispatch::channel::Wanted;
+use crate::dispatch::division::Divided;
+use crate::dispatch::division::Division;
+use crate::dispatch::forwarding::ForwarderHost;
+use crate::dispatch::forwarding::Inbound;
+use crate::dispatch::forwarding::Reply;
 use crate::dispatch::lag::LoopLag;
 use crate::dispatch::links;
 use crate::dispatch::links::Links;
@@ -45,7 +54,11 @@
 }
 
 struct Inner {
-    policy: LinkPolicy,
+    policy: Policy,
+    division: Division,
+    /// Hands on the jobs of other partitions, if there are any.
+    forwarder: OnceCell<ForwarderHost>,
+    inbound: Inbound,
     scheduler: RefCell<Scheduler>,
     clock: BootClock,
     own: SocketAddr,
@@ -56,9 +69,26 @@
     log: RefCell<LogSink>,
 }
 
-/// The end of a job, as its caller waits for it. Dropping it tells the scheduler that the caller
-/// has left.
-pub struct Waiter {
+/// The end of a job, as its caller waits for it: of one that runs here, or in another partition.
+pub enum Waiter {
+    /// It is one of this partition.
+    Here(LocalWaiter),
+    /// It is forwarded.
+    Elsewhere(Reply),
+}
+
+impl Waiter {
+    /// Waits for the end.
+    pub async fn outcome(self) -> JobOutcome {
+        match self {
+            Waiter::Here(waiter) => waiter.outcome().await,
+            Waiter::Elsewhere(reply) => reply.outcome().await,
+        }
+    }
+}
+
+/// The end of a job that runs here. Dropping it tells the scheduler that the caller has left.
+pub struct LocalWaiter {
     host: SchedulerHost,
     caller: CallerId,
     number: JobNumber,
@@ -66,7 +96,7 @@
     done: bool,
 }
 
-impl Waiter {
+impl LocalWaiter {
     /// Waits for the end.
     pub async fn outcome(mut self) -> JobOutcome {
         let outcome = (&mut self.receiver).await;
@@ -75,7 +105,7 @@
     }
 }
 
-impl Drop for Waiter {
+impl Drop for LocalWaiter {
     fn drop(&mut self) {
         if !self.done {
             let (caller, number) = (self.caller, self.number);
@@ -86,20 +116,25 @@
 }
 
 impl SchedulerHost {
-    /// Starts a scheduler that listens at `listen` and is reached by others at `own`.
+    /// Starts a scheduler that listens at `listen` and is reached by others at `own`. `seeds` are asked who there is
+    /// while the store does not answer.
     ///
     /// # Errors
     ///
     /// When the address can't be bound.
     pub fn start(
         setup: SchedulerSetup,
+        seeds: Vec<SocketAddr>,
         listen: SocketAddr,
         own: SocketAddr,
         log: LogSink,
     ) -> std::io::Result<SchedulerHost> {
         let listener = channel::listen(listen)?;
         let inner = Inner {
-            policy: setup.policy.links,
+            policy: setup.policy,
+            division: Division::new(&setup.name, seeds),
+            forwarder: OnceCell::new(),
+            inbound: Inbound::default(),
             scheduler: RefCell::new(Scheduler::new(setup)),
             clock: BootClock::start(),
             own,
@@ -159,15 +194,84 @@
         read(&self.inner.scheduler.borrow())
     }
 
-    /// Hands in a job.
+    /// Has the jobs of other partitions forwarded from now on.
+    pub fn forward_by(&self, forwarder: ForwarderHost) {
+        // It is started once, when the division becomes known.
+        let _ = self.inner.forwarder.set(forwarder);
+    }
+
+    /// The forwarder, in a fleet that is divided.
+    pub fn forwarder(&self) -> Option<&ForwarderHost> {
+        self.inner.forwarder.get()
+    }
+
+    /// Whether requests should be sent here: those of this partition are served, and the others can be forwarded.
+    pub fn is_ready(&self) -> bool {
+        let divided = self.inner.division.get().is_some_and(|p| p.count() > 1);
+        let forwards = match self.forwarder() {
+            Some(forwarder) => forwarder.read(|f| f.is_ready()),
+            None => !divided,
+        };
+        forwards && self.read(Scheduler::is_ready)
+    }
+
+    /// Whether no job is held or forwarded and nobody waits.
+    pub fn is_idle(&self) -> bool {
+        let forwarded = self.forwarder().is_none_or(|f| f.read(Forwarder::is_idle));
+        forwarded && self.read(Scheduler::is_idle)
+    }
+
+    /// How long no job has come.
+    pub fn untaken(&self) -> Duration {
+        let now = self.now();
+        let here = self.read(|s| s.untaken(now));
+        let forwarded = self.forwarder().map(|f| f.read(|f| f.untaken(now)));
+        forwarded.map_or(here, |span| span.min(here))
+    }
+
+    /// Gives up all that is held and forwarded, so that every caller has an answer.
+    pub fn abandon(&self) {
+        self.with(|s, now| s.abandon(now));
+        if let Some(forwarder) = self.forwarder() {
+            let now = self.now();
+            forwarder.with(|f| f.abandon(now));
+        }
+    }
+
+    /// Hands in a job, at the partition that runs it.
     pub fn submit(&self, request: JobRequest) -> Waiter {
+        match self.foreign(request.number) {
+            Some(forwarder) => Waiter::Elsewhere(forwarder.submit(request)),
+            None => Waiter::Here(self.submit_here(request)),
+        }
+    }
+
+    /// Cancels a job; whether it is known.
+    pub async fn cancel(&self, number: JobNumber) -> bool {
+        match self.foreign(number) {
+            Some(forwarder) => forwarder.cancel(number).outcome().await == JobOutcome::Cancelled,
+            None => self.with(|s, now| s.cancel(now, number)),
+        }
+    }
+
+    fn foreign(&self, number: JobNumber) -> Option<&ForwarderHost> {
+        self.forwarder().filter(|f| f.is_foreign(number))
+    }
+
+    /// Whether a job is of another partition.
+    pub(super) fn is_foreign(&self, number: JobNumber) -> bool {
+        self.foreign(number).is_some()
+    }
+
+    /// Hands in a job that runs here.
+    pub(super) fn submit_here(&self, request: JobRequest) -> LocalWaiter {
         let caller = CallerId(self.inner.next_caller.get());
         self.inner.next_caller.set(caller.0 + 1);
         let (sender, receiver) = oneshot::channel();
         self.inner.callers.borrow_mut().insert(caller, sender);
         let number = request.number;
         self.with(|s, now| s.submit(now, caller, request));
-        Waiter {
+        LocalWaiter {
             host: self.clone(),
             caller,
             number,
@@ -182,6 +286,34 @@
         self.inner.log.borrow_mut().log(self.now(), &event);
     }
 
+    /// Writes a log line that is made already.
+    pub(super) fn log_event(&self, event: &Event) {
+        self.inner.log.borrow_mut().log(self.now(), event);
+    }
+
+    /// What other entries have forwarded.
+    pub(super) fn inbound(&self) -> &Inbound {
+        &self.inner.inbound
+    }
+
+    /// How often an entry hears of this one while it has forwarded something here.
+    pub(super) fn forward_heartbeat(&self) -> Duration {
+        self.inner.policy.partitions.heartbeat
+    }
+
+    /// Answers an entry that forwards jobs here: how one ended, if any has.
+    pub(super) fn reply(&self, link: LinkId, end: Option<(u64, JobOutcome)>) {
+        let told = |(caller, outcome): (u64, JobOutcome)| proto::ForwardedEnd {
+            caller,
+            outcome: outcome.code(),
+        };
+        let reply = proto::ForwardReply {
+            ends: end.map(told).into_iter().collect(),
+            ready: self.read(Scheduler::is_ready),
+        };
+        self.inner.links.send(link, Body::ForwardReply(reply));
+    }
+
     /// How late this process gets to what is due, and what passes on its links.
     pub fn process(&self) -> ProcessGauges<'_> {
         ProcessGauges {
@@ -191,8 +323,7 @@
         }
     }
 
-    /// Keeps a link to the scheduler at this address.
-    pub fn dial(&self, address: SocketAddr) {
+    fn keep_link(&self, address: SocketAddr) {
         if address == self.inner.own || !self.inner.links.begin(address) {
             return;
         }
@@ -200,12 +331,13 @@
         actix_rt::spawn(async move {
             // Of two schedulers that know each other, one is given the time to connect first.
             if address < host.inner.own {
-                actix_rt::time::sleep(host.inner.policy.yield_for).await;
+                actix_rt::time::sleep(host.inner.policy.links.yield_for).await;
             }
             let known = address.to_string();
             let reading = host.clone();
             let linked = move || reading.read(|s| s.is_linked_to(&known));
-            links::keep(address, host, linked).await;
+            links::keep(address, host.clone(), linked).await;
+            host.inner.links.end(address);
         });
     }
 
@@ -226,32 +358,80 @@
     }
 }
 
+impl Divided for SchedulerHost {
+    fn division(&self) -> &Division {
+        &self.inner.division
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        self.keep_link(address);
+    }
+
+    fn log(&self, kind: Kind, detail: String) {
+        SchedulerHost::log(self, kind, detail);
+    }
+}
+
 impl Listener for SchedulerHost {
     fn policy(&self) -> LinkPolicy {
-        self.inner.policy
+        self.inner.policy.links
     }
 
     fn greeting(&self) -> proto::Greeting {
-        self.read(Scheduler::greeting)
+        proto::Greeting {
+            divided: self.inner.division.told(),
+            ..self.read(Scheduler::greeting)
+        }
+    }
+
+    fn wants(&self, theirs: &proto::Greeting) -> Wanted {
+        if theirs.address == self.inner.own.to_string() && !theirs.executor {
+            return Wanted::Never;
+        }
+        if self.inner.division.hear(theirs) {
+            let detail = self.inner.division.describe(&theirs.name);
+            self.log(Kind::FleetDivided, detail);
+        }
+        match self.inner.division.wants(theirs) {
+            Wanted::Never if theirs.forwards => Wanted::Yes,
+            wanted => wanted,
+        }
+    }
+
+    fn directions(&self, theirs: &proto::Greeting) -> Vec<proto::Member> {
+        let named = |f: &Forwarder| f.schedulers_beside(&theirs.name);
+        self.forwarder().map(|f| f.read(named)).unwrap_or_default()
     }
 
-    fn wants(&self, theirs: &proto::Greeting) -> bool {
-        theirs.executor || theirs.address != self.inner.own.to_string()
+    fn directed(&self, members: Vec<proto::Member>) {
+        links::addresses(&members)
+            .into_iter()
+            .for_each(|address| self.dial(address));
     }
 
     fn up(&self, link: LinkId, theirs: &proto::Greeting, sender: ChannelSender) {
         self.inner.links.insert(link, sender);
+        if theirs.forwards {
+            return self.inner.inbound.up(self, link);
+        }
         self.with(|s, now| s.link_up(now, link, theirs));
     }
 
     fn message(&self, link: LinkId, body: Body) {
-        self.with(|s, now| s.message(now, link, body));
+        match body {
+            Body::Forward(forward) if self.inner.inbound.holds(link) => {
+                self.inner.inbound.message(self, link, forward);
+            }
+            body => self.with(|s, now| s.message(now, link, body)),
+        }
     }
 
     fn down(&self, link: LinkId, theirs: &proto::Greeting, end: LinkEnd) {
         self.inner.links.remove(link);
         self.log(Kind::LinkEnded, format!("{}: {end}", theirs.name));
-        self.with(|s, now| s.link_down(now, link));
+        if !self.inner.inbound.down(link) {
+            self.with(|s, now| s.link_down(now, link));
+        }
     }
 
     fn traffic(&self) -> Rc<Traffic> {
--- a/lib/daemon/src/dispatch/store.rs
+++ b/lib/daemon/src/dispatch/store.rs
@@ -82,6 +82,8 @@
         value: Bytes,
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<(), StoreError>>;
+    /// Writes a key that is not there, for good. Where it is there it fails with [`StoreError::Conflict`].
+    fn create(&self, key: &str, value: Bytes) -> impl Future<Output = Result<(), StoreError>>;
     /// Takes a lease.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease, StoreError>>;
     /// Renews a lease.
--- a/lib/daemon/tests/runner/test_channel.rs
+++ b/lib/daemon/tests/runner/test_channel.rs
@@ -12,6 +12,7 @@
 use stackcourse_daemon::dispatch::channel::ChannelSender;
 use stackcourse_daemon::dispatch::channel::LinkEnd;
 use stackcourse_daemon::dispatch::channel::Listener;
+use stackcourse_daemon::dispatch::channel::Wanted;
 use stackcourse_daemon::dispatch::traffic::Traffic;
 use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::prelude::LinkId;
@@ -38,8 +39,8 @@
         proto::Greeting::default()
     }
 
-    fn wants(&self, _theirs: &proto::Greeting) -> bool {
-        true
+    fn wants(&self, _theirs: &proto::Greeting) -> Wanted {
+        Wanted::Yes
     }
 
     fn up(&self, _link: LinkId, _theirs: &proto::Greeting, sender: ChannelSender) {
--- a/lib/daemon/tests/runner/test_follow.rs
+++ b/lib/daemon/tests/runner/test_follow.rs
@@ -60,6 +60,10 @@
         self.answer(())
     }
 
+    async fn create(&self, _: &str, _: Bytes) -> Result<(), StoreError> {
+        self.answer(())
+    }
+
     async fn grant(&self, _ttl: Duration) -> Result<Lease, StoreError> {
         self.answer(Lease(1))
     }
@@ -100,7 +104,12 @@
     for got in &got {
         let store = Rc::new(LateStore { back_at });
         let needy = Needy { got: got.clone() };
-        actix_rt::spawn(follow::follow(store, KEY, Duration::from_secs(1), needy));
+        actix_rt::spawn(follow::follow(
+            store,
+            KEY.to_owned(),
+            Duration::from_secs(1),
+            needy,
+        ));
     }
     tokio::time::sleep(Duration::from_millis(1000)).await;
     for got in got {
@@ -159,6 +168,10 @@
         Ok(())
     }
 
+    async fn create(&self, _: &str, _: Bytes) -> Result<(), StoreError> {
+        Err(StoreError::Away)
+    }
+
     async fn grant(&self, _ttl: Duration) -> Result<Lease, StoreError> {
         let number = u64::from(Instant::now() >= self.away.end);
         self.answer(Lease(number))
--- a/lib/testutils/src/bin/platform-soak.rs
+++ b/lib/testutils/src/bin/platform-soak.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::Command;
 use clap::value_parser;
 use stackcourse_testutils::platform::soak;
@@ -23,6 +24,12 @@
         .arg(number("from", "1", "The first seed"))
         .arg(number("seeds", "50", "How many seeds"))
         .arg(number("span", "8", "Seconds with faults in each run"))
+        .arg(
+            Arg::new("divided")
+                .long("divided")
+                .action(ArgAction::SetTrue)
+                .help("Divide the fleet into partitions: at least 4 entries and 4 agents"),
+        )
         .arg(number("entries", "3", "Entries of the fleet, 20 at most"))
         .arg(number("agents", "4", "Agents of the fleet, 200 at most"))
         .arg(
@@ -41,6 +48,7 @@
         let plan = SoakPlan {
             entries: value("entries") as usize,
             agents: value("agents") as usize,
+            divided: matches.get_flag("divided"),
             keep: matches.get_one::<PathBuf>("keep").cloned(),
             ..SoakPlan::small(seed, span)
         };
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -18,8 +18,11 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use stackcourse_lib::dispatch::partition::Partitions;
+use stackcourse_lib::dispatch::policy::Policy;
 
 use crate::fault_proxy::FaultProxy;
 use crate::platform::callers;
@@ -164,6 +167,8 @@
     pub proxies: Vec<FaultProxy>,
     /// The agents.
     pub agents: Vec<Machine>,
+    /// How it is divided.
+    pub partitions: Partitions,
     dir: PathBuf,
     _stand_ins: Vec<StandIn>,
 }
@@ -223,6 +228,24 @@
     ///
     /// When it does not come up within half a minute.
     pub async fn start(binary: &Path, entries: usize, agents: usize) -> Fleet {
+        Fleet::start_under(binary, entries, agents, &json!({})).await
+    }
+
+    /// Starts a fleet that is divided though it is small, likewise.
+    ///
+    /// # Panics
+    ///
+    /// When it does not come up within half a minute.
+    pub async fn start_divided(binary: &Path, entries: usize, agents: usize) -> Fleet {
+        Fleet::start_under(binary, entries, agents, &dividing()).await
+    }
+
+    /// Starts a fleet under a policy.
+    async fn start_under(binary: &Path, entries: usize, agents: usize, policy: &Value) -> Fleet {
+        let partitions = Policy::deserialize(policy).expect("a policy").partitions;
+        let names = |count, name: fn(usize) -> String| (0..count).map(name).collect::<Vec<_>>();
+        let (agent_names, entry_names) = (names(agents, agent_name), names(entries, entry_name));
+        let partitions = Partitions::for_fleet(&agent_names, &entry_names, &partitions);
         let base = network();
         let dir = std::env::temp_dir().join(format!("stackcourse-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
@@ -239,6 +262,7 @@
             entries: Vec::new(),
             proxies: Vec::new(),
             agents: Vec::new(),
+            partitions,
             dir,
             _stand_ins: Vec::new(),
         };
@@ -247,8 +271,8 @@
             let own = SocketAddr::from((at, PEER_PORT));
             let listen = SocketAddr::from((at, PROXY_PORT));
             fleet.proxies.push(FaultProxy::start(listen, own));
-            let name = format!("entry-{number}");
-            let node = node(&name, zone_of(0), at, store_address, Some(listen));
+            let name = entry_name(number);
+            let node = node(&name, zone_of(0), at, store_address, Some(listen), policy);
             let settings = json!({
                 "node": node,
                 "callers": SocketAddr::from((at, CALLERS_PORT)),
@@ -263,7 +287,7 @@
             let worker = SocketAddr::from((at, WORKER_PORT));
             stand_ins.push(workers::start(worker, beats, shared.clone(), number));
             let settings = json!({
-                "node": node(&format!("agent-{number}"), zone_of(number), at, store_address, None),
+                "node": node(&agent_name(number), zone_of(number), at, store_address, None, policy),
                 "beats": beats,
                 "worker": worker,
                 "hold_ms": 1000,
@@ -318,7 +342,16 @@
         }
     }
 
-    /// Waits until every entry is ready and every agent is linked to every entry.
+    /// How many agents are of the partition of an entry.
+    fn agents_beside(&self, entry: usize) -> usize {
+        let own = self.partitions.of_name(&entry_name(entry));
+        let agents = 0..self.agents.len();
+        agents
+            .filter(|agent| self.partitions.of_name(&agent_name(*agent)) == own)
+            .count()
+    }
+
+    /// Waits until every entry is ready and every agent is linked to every entry of its partition.
     ///
     /// # Panics
     ///
@@ -327,10 +360,10 @@
         let end = Instant::now() + Duration::from_secs(30);
         loop {
             let mut up = true;
-            for entry in &self.entries {
+            for (number, entry) in self.entries.iter().enumerate() {
                 let ready = callers::call(entry.ready(), "GET", "/-/ready", None).await;
                 let linked = metric(entry.metrics(), "state", "executors_linked").await;
-                up &= ready.status == 200 && linked == Some(self.agents.len() as u64);
+                up &= ready.status == 200 && linked == Some(self.agents_beside(number) as u64);
             }
             if up {
                 return;
@@ -376,12 +409,26 @@
     ["z", "y"][agent % 2]
 }
 
+fn entry_name(number: usize) -> String {
+    format!("entry-{number}")
+}
+
+fn agent_name(number: usize) -> String {
+    format!("agent-{number}")
+}
+
+/// A policy by which a fleet of a few machines is divided.
+fn dividing() -> Value {
+    json!({"partitions": {"executors": 3, "schedulers": 2}})
+}
+
 fn node(
     name: &str,
     zone: &str,
     ip: Ipv4Addr,
     store: SocketAddr,
     reached_at: Option<SocketAddr>,
+    policy: &Value,
 ) -> Value {
     json!({
         "name": name,
@@ -393,6 +440,7 @@
         "grace_s": 6.0,
         "metrics_port": METRICS_PORT,
         "reached_at": reached_at,
+        "policy": policy,
     })
 }
 
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -49,6 +49,8 @@
     pub entries: usize,
     /// See `entries`.
     pub agents: usize,
+    /// Whether the fleet is divided into partitions.
+    pub divided: bool,
     /// Where the logs of the processes and the timeline of a run that failed are kept.
     pub keep: Option<PathBuf>,
 }
@@ -61,9 +63,20 @@
             span,
             entries: 3,
             agents: 4,
+            divided: false,
             keep: None,
         }
     }
+
+    /// A fleet that is divided, as small as that can be, whose logs are not kept.
+    pub fn divided(seed: u64, span: Duration) -> SoakPlan {
+        SoakPlan {
+            entries: 6,
+            agents: 8,
+            divided: true,
+            ..SoakPlan::small(seed, span)
+        }
+    }
 }
 
 /// What came of a soak.
@@ -126,11 +139,15 @@
 
 /// Runs a plan: a span with faults, then some time without. Needs an actix system.
 pub async fn run(binary: &Path, plan: &SoakPlan) -> SoakReport {
+    let fleet = match plan.divided {
+        true => Fleet::start_divided(binary, plan.entries, plan.agents).await,
+        false => Fleet::start(binary, plan.entries, plan.agents).await,
+    };
     let mut soak = Soak {
         rng: ChaCha8Rng::seed_from_u64(plan.seed),
         changes: ChaCha8Rng::seed_from_u64(!plan.seed),
         crashes: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32)),
-        fleet: Fleet::start(binary, plan.entries, plan.agents).await,
+        fleet,
         completed: Rc::new(Cell::new(0)),
         begun: Instant::now(),
         jobs: 0,
