forwarder: a link counts once its other end is known to be ready; an own pause is no silence

Cause: read in the code, each with a test that failed first. - A scheduler was taken for ready as soon as a link to it was up, and told otherwise 200 ms later. One that has just started has no configuration and refuses what comes: the first jobs on each such link. It says now at once whether it is ready, and what waits for the link goes elsewhere if it is not. - A forwarder that had been paused for 1.3 s gave up every link on which it waited, with the answers that lay in it. Silence counts from the end of the pause now, as the scheduler counts it.

--- a/lib/daemon/src/dispatch/forwarding.rs
+++ b/lib/daemon/src/dispatch/forwarding.rs
@@ -338,9 +338,11 @@
     host.reply(link, Some((caller, outcome)));
 }
 
-/// Tells the other end that this process lives while jobs are at work for it, and when its readiness has changed.
+/// Tells the other end at once whether this process is ready, when that has changed, and that this process lives while
+/// jobs are at work for it.
 async fn beat(host: SchedulerHost, link: LinkId) {
-    let mut told = true;
+    let mut told = host.read(Scheduler::is_ready);
+    host.reply(link, None);
     loop {
         actix_rt::time::sleep(host.forward_heartbeat()).await;
         let ready = host.read(Scheduler::is_ready);
--- a/lib/src/dispatch/forwarder.rs
+++ b/lib/src/dispatch/forwarder.rs
@@ -55,6 +55,8 @@
     pub policy: PartitionPolicy,
     /// When refused callers come back.
     pub admission: Admission,
+    /// A process that has not run for this long was paused.
+    pub pause: Duration,
 }
 
 /// A scheduler, as the store names it.
@@ -121,6 +123,8 @@
     counts: ForwarderCounts,
     actions: Vec<Action>,
     now: Mono,
+    /// Since when this process has run without a pause.
+    awake_since: Mono,
 }
 
 impl Forwarder {
@@ -145,6 +149,7 @@
             counts: ForwarderCounts::default(),
             actions: Vec::new(),
             now: Mono::default(),
+            awake_since: Mono::default(),
         }
     }
 
@@ -177,7 +182,7 @@
 
     /// Gives up all requests, so that every caller has an answer: the process ends.
     pub fn abandon(&mut self, now: Mono) {
-        self.now = now;
+        self.enter(now);
         for (caller, call) in std::mem::take(&mut self.calls) {
             let number = call.number();
             self.log(Kind::ForwardFailed, format!("{number} leaving"));
@@ -207,8 +212,17 @@
         self.take(now, caller, Request::Cancel(number));
     }
 
-    fn take(&mut self, now: Mono, caller: CallerId, request: Request) {
+    /// Takes note of the time. After a pause of this process others seem to have been silent that only were not listened
+    /// to.
+    fn enter(&mut self, now: Mono) {
+        if now.since(self.now) >= self.setup.pause {
+            self.awake_since = now;
+        }
         self.now = now;
+    }
+
+    fn take(&mut self, now: Mono, caller: CallerId, request: Request) {
+        self.enter(now);
         self.counts.requests += 1;
         self.last_taken = now;
         let partition = self.partitions.of_job(request.number());
@@ -219,30 +233,26 @@
 
     /// A caller has left.
     pub fn caller_left(&mut self, now: Mono, caller: CallerId) {
-        self.now = now;
+        self.enter(now);
         if let Some(key) = self.calls.remove(&caller).and_then(|call| call.sent_to()) {
             self.recall(key, caller);
         }
     }
 
-    /// A link is up that this process has dialled.
+    /// A link is up that this process has dialled. What waits for it is sent once its other end has said that it is ready.
     pub fn link_up(&mut self, now: Mono, name: &str, link: LinkId) {
-        self.now = now;
+        self.enter(now);
         let Some(key) = self.named.get(name).copied() else {
             return self.actions.push(Action::Close(link));
         };
         self.linked.insert(link, key);
         self.targets[key].link_up(now, link);
-        let waiting = self.waiting_for(key);
-        for caller in waiting {
-            self.send(caller, key);
-        }
         self.log(Kind::LinkUp, format!("forwarding to {name}"));
     }
 
     /// A scheduler could not be reached.
     pub fn unreached(&mut self, now: Mono, name: &str) {
-        self.now = now;
+        self.enter(now);
         let Some(key) = self.named.get(name).copied() else {
             return;
         };
@@ -255,17 +265,22 @@
 
     /// A link is down.
     pub fn link_down(&mut self, now: Mono, link: LinkId) {
-        self.now = now;
+        self.enter(now);
         self.lose_link(link, Loss::Broken);
     }
 
     /// A scheduler to which jobs are forwarded has answered.
     pub fn message(&mut self, now: Mono, link: LinkId, reply: &proto::ForwardReply) {
-        self.now = now;
+        self.enter(now);
         let Some(key) = self.linked.get(&link).copied() else {
             return;
         };
-        self.targets[key].hear(now, reply.ready);
+        if self.targets[key].hear(now, reply.ready) {
+            let waiting = self.waiting_for(key);
+            for caller in waiting {
+                self.place(caller);
+            }
+        }
         for end in &reply.ends {
             let outcome = JobOutcome::from_code(end.outcome);
             self.ended(key, CallerId(end.caller), outcome);
@@ -275,7 +290,7 @@
     /// Names the schedulers that a partition has. A few of them are enough; one that is not named any more is used for as
     /// long as its link is up.
     pub fn set_schedulers(&mut self, now: Mono, partition: Partition, list: Vec<Scheduled>) {
-        self.now = now;
+        self.enter(now);
         let mut list = list;
         list.sort_by_cached_key(|scheduled| self.rank(scheduled));
         list.truncate(self.setup.policy.candidates as usize);
@@ -286,7 +301,7 @@
         let before = self.ranked.remove(&partition).unwrap_or_default();
         for key in before {
             let kept = keys.contains(&key);
-            if !kept && self.targets[key].is_linked() {
+            if !kept && self.targets[key].has_link() {
                 keys.push(key);
             } else if !kept && let Some(target) = self.targets.remove(key) {
                 self.named.remove(&target.name);
@@ -299,7 +314,7 @@
 
     /// Passing time.
     pub fn tick(&mut self, now: Mono) {
-        self.now = now;
+        self.enter(now);
         self.close_links();
         self.send_again();
         self.read_next();
--- a/lib/src/dispatch/forwarder/targets.rs
+++ b/lib/src/dispatch/forwarder/targets.rs
@@ -32,6 +32,8 @@
     pub rank: Rank,
     address: String,
     link: Option<LinkId>,
+    /// Whether it has said on this link whether it is ready.
+    met: bool,
     dialling: bool,
     /// It is not chosen before, since it could not be reached.
     avoided_until: Mono,
@@ -48,11 +50,12 @@
 impl Target {
     pub fn link_up(&mut self, now: Mono, link: LinkId) {
         self.link = Some(link);
+        self.met = false;
         self.dialling = false;
         self.avoided_until = Mono::default();
-        self.ready = true;
         self.heard = now;
         self.used = now;
+        self.waiting_since = Some(now);
         self.out = proto::Forward::default();
     }
 
@@ -61,18 +64,31 @@
         self.avoided_until = until;
     }
 
-    pub fn is_linked(&self) -> bool {
+    pub fn has_link(&self) -> bool {
         self.link.is_some()
     }
 
-    pub fn hear(&mut self, now: Mono, ready: bool) {
+    /// Whether something can be sent to it.
+    pub fn is_linked(&self) -> bool {
+        self.link.is_some() && self.met
+    }
+
+    /// Notes a word of it; whether it is the first on this link.
+    pub fn hear(&mut self, now: Mono, ready: bool) -> bool {
         self.heard = now;
         self.ready = ready;
+        let first = !std::mem::replace(&mut self.met, true);
+        if first && self.open == 0 {
+            self.waiting_since = None;
+        }
+        first
     }
 
-    /// For how long nothing was heard from it though it has something to answer.
-    pub fn silence(&self, now: Mono) -> Duration {
-        let since = self.waiting_since.map(|at| at.max(self.heard));
+    /// For how long nothing was heard from it though it has something to answer, while this process listened.
+    pub fn silence(&self, now: Mono, awake_since: Mono) -> Duration {
+        let since = self
+            .waiting_since
+            .map(|at| at.max(self.heard).max(awake_since));
         since.map(|at| now.since(at)).unwrap_or_default()
     }
 
@@ -113,6 +129,7 @@
 
     fn lose_link(&mut self) {
         self.link = None;
+        self.met = false;
         self.open = 0;
         self.waiting_since = None;
         self.out = proto::Forward::default();
@@ -152,6 +169,7 @@
             rank,
             address: scheduled.address,
             link: None,
+            met: false,
             dialling: false,
             avoided_until: Mono::default(),
             ready: true,
@@ -185,14 +203,15 @@
         let ranked = self.ranked.get(&partition)?;
         let answers = |key: &&TargetKey| {
             let target = &self.targets[**key];
-            target.silence(now) < silence && (target.is_linked() || target.avoided_until <= now)
+            let answers = target.silence(now, self.awake_since) < silence;
+            answers && (target.has_link() || target.avoided_until <= now)
         };
         let usable: Vec<TargetKey> = ranked.iter().filter(answers).copied().collect();
         let ready = |key: &&TargetKey| self.targets[**key].ready;
         let first = usable.iter().find(ready).or(usable.first()).copied()?;
         let linked = |key: &&TargetKey| self.targets[**key].is_linked() && ready(key);
         let linked = usable.iter().find(linked).copied();
-        if !self.targets[first].is_linked() {
+        if !self.targets[first].has_link() {
             self.dial(first);
         }
         Some(linked.unwrap_or(first))
@@ -224,7 +243,7 @@
         let policy = self.setup.policy;
         let over = |target: &Target| {
             let idle = target.open == 0 && now.since(target.used) >= policy.idle;
-            idle || target.silence(now) >= policy.again_silent
+            idle || target.silence(now, self.awake_since) >= policy.again_silent
         };
         let over = self
             .linked
--- a/lib/src/dispatch/forwarder/tests.rs
+++ b/lib/src/dispatch/forwarder/tests.rs
@@ -39,6 +39,7 @@
             seed: 1,
             policy: Policy::default().partitions,
             admission: Policy::default().admission,
+            pause: Policy::default().claims.pause,
         };
         let mut rig = Rig {
             forwarder: Forwarder::new(setup, partitions),
@@ -96,11 +97,28 @@
             panic!("one is dialled");
         };
         let name = name.clone();
-        self.forwarder.link_up(at(1), &name, LinkId(1));
+        self.link_up(at(1), &name, 1);
         assert_matches!(&self.act()[..], [Action::Send(LinkId(1), f)] if f.jobs.len() == 1);
         name
     }
 
+    /// Time passes, from one moment to before another one.
+    fn pass(&mut self, from: u64, until: u64) {
+        for now in (from..until).step_by(20) {
+            self.forwarder.tick(at(now));
+        }
+    }
+
+    /// A link is up, and its other end says that it is ready.
+    fn link_up(&mut self, now: Mono, name: &str, link: u64) {
+        self.forwarder.link_up(now, name, LinkId(link));
+        let ready = proto::ForwardReply {
+            ready: true,
+            ..proto::ForwardReply::default()
+        };
+        self.forwarder.message(now, LinkId(link), &ready);
+    }
+
     fn end(&mut self, now: Mono, link: u64, caller: u64, outcome: JobOutcome) {
         let reply = proto::ForwardReply {
             ends: vec![proto::ForwardedEnd {
@@ -129,7 +147,7 @@
     rig.submit(at(0), 0);
     rig.act();
     let near = rig.near.clone();
-    rig.forwarder.link_up(at(40), &near, LinkId(1));
+    rig.link_up(at(40), &near, 1);
     let [Action::Send(_, forward)] = &rig.act()[..] else {
         panic!("it is sent");
     };
@@ -166,12 +184,11 @@
     let mut rig = Rig::new();
     rig.sent();
     let silent = ms(Policy::default().partitions.silence);
+    rig.pass(1, silent - 100);
     rig.submit(at(silent - 100), 1);
     assert_matches!(&rig.act()[..], [Action::Send(LinkId(1), _)]);
     let again = ms(Policy::default().partitions.again_silent);
-    for now in (silent..1 + again).step_by(20) {
-        rig.forwarder.tick(at(now));
-    }
+    rig.pass(silent - 100, 1 + again);
     assert_eq!(rig.act(), vec![], "not even the first may come again");
     rig.forwarder.tick(at(1 + again));
     let actions = rig.act();
@@ -179,7 +196,7 @@
     let Action::Dial(next, _) = actions[1].clone() else {
         panic!("another one is dialled: {actions:?}");
     };
-    rig.forwarder.link_up(at(1 + again), &next, LinkId(2));
+    rig.link_up(at(1 + again), &next, 2);
     let sent = rig.act();
     assert_matches!(&sent[..], [Action::Send(_, f)] if f.jobs.len() == 1, "the second was sent later");
     rig.forwarder.tick(at(silent - 100 + again));
@@ -190,8 +207,9 @@
 fn test_forwarder_sends_nothing_new_to_one_that_is_silent() {
     let mut rig = Rig::new();
     rig.sent();
-    let silent = at(1) + Policy::default().partitions.silence;
-    rig.submit(silent, 1);
+    let silent = 1 + ms(Policy::default().partitions.silence);
+    rig.pass(1, silent);
+    rig.submit(at(silent), 1);
     assert_matches!(&rig.act()[..], [Action::Dial(name, _)] if rig.far.contains(name));
 }
 
@@ -205,7 +223,7 @@
         panic!("another one is dialled");
     };
     let next = next.clone();
-    rig.forwarder.link_up(at(201), &next, LinkId(2));
+    rig.link_up(at(201), &next, 2);
     rig.act();
     rig.end(at(210), 2, 0, JobOutcome::Refused(400));
     assert_eq!(
@@ -263,7 +281,7 @@
     let Some(Action::Dial(far, _)) = dialled.last().cloned() else {
         panic!("another one is dialled");
     };
-    rig.forwarder.link_up(at(11), &far, LinkId(2));
+    rig.link_up(at(11), &far, 2);
     rig.end(at(80), 2, 0, JobOutcome::Completed);
     rig.act();
     let later = at(10) + Policy::default().partitions.avoid;
@@ -324,6 +342,7 @@
         seed: 1,
         policy: policy.partitions,
         admission: policy.admission,
+        pause: policy.claims.pause,
     };
     let mut forwarder = Forwarder::new(setup, partitions);
     let own = forwarder.own();
@@ -351,6 +370,7 @@
                 Action::Dial(name, _) => {
                     let link = LinkId(dialled.len() as u64);
                     forwarder.link_up(at(n), &name, link);
+                    forwarder.message(at(n), link, &ends_of(&proto::Forward::default()));
                     dialled.insert(name);
                 }
                 Action::Send(link, forward) => {
@@ -375,3 +395,34 @@
     );
     assert_eq!((links, more_links), (3, 7), "one a partition");
 }
+
+/// Whoever has just started has no configuration yet and refuses: what waits for its link goes elsewhere.
+#[test]
+fn test_forwarder_sends_nothing_to_one_that_says_at_once_that_it_is_not_ready() {
+    let mut rig = Rig::new();
+    rig.submit(at(0), 0);
+    rig.act();
+    let near = rig.near.clone();
+    rig.forwarder.link_up(at(1), &near, LinkId(1));
+    assert_eq!(rig.act(), vec![], "it has not said whether it is ready");
+    let not_ready = proto::ForwardReply::default();
+    rig.forwarder.message(at(2), LinkId(1), &not_ready);
+    assert_matches!(&rig.act()[..], [Action::Dial(name, _)] if rig.far.contains(name));
+}
+
+/// After a pause of this process others seem to have been silent that only were not listened to.
+#[test]
+fn test_forwarder_gives_up_no_link_for_a_pause_of_its_own() {
+    let mut rig = Rig::new();
+    rig.sent();
+    rig.forwarder.tick(at(20));
+    rig.forwarder.tick(at(2_020));
+    assert_eq!(rig.act(), vec![]);
+    rig.end(at(2_021), 1, 0, JobOutcome::Completed);
+    let answer = Action::Answer(CallerId(0), JobOutcome::Completed);
+    assert_eq!(
+        rig.act(),
+        vec![answer],
+        "what was ready meanwhile is delivered"
+    );
+}
