daemon: a fleet is divided once its processes have registered; a spoilt division is asked for at the seeds

With a slow store two counts could agree before any executor, or the counting entry itself, had registered: the fleet would have been one partition for good. And a record that another writer has spoilt left a process that starts waiting for ever, while all others know the division.

--- a/lib/daemon/src/dispatch/division.rs
+++ b/lib/daemon/src/dispatch/division.rs
@@ -147,9 +147,21 @@
     faults: FaultLog,
 }
 
+impl<H: Divided> DivisionFollower<H> {
+    /// Somebody else has spoilt the record: the processes that run still know what it said.
+    fn note_fault(&self, item: &Item) {
+        if self.faults.is_news(&item.key) {
+            let most = partition::MAX_BITS;
+            let detail = format!("{KEY}: not a number of bits up to {most}");
+            self.host.log(Kind::BadRecord, detail);
+        }
+        ask_seeds(&self.host);
+    }
+}
+
 impl<H: Divided> Follower for DivisionFollower<H> {
     fn value(&self, item: &Item) {
-        if item.key != KEY || item.fault.is_some() {
+        if item.key != KEY {
             return;
         }
         let record = serde_json::from_slice::<DivisionRecord>(&item.value);
@@ -161,11 +173,7 @@
                     .log(Kind::FleetDivided, division.describe("the store"));
             }
             Some(_) => {}
-            None if self.faults.is_news(&item.key) => {
-                let detail = format!("{KEY}: not a number of bits up to {}", partition::MAX_BITS);
-                self.host.log(Kind::BadRecord, detail);
-            }
-            None => {}
+            None => self.note_fault(item),
         }
     }
 
@@ -198,28 +206,46 @@
     let mut before = None;
     while host.division().get().is_none() {
         let listed = list(&*store).await.ok();
-        let lengths = listed.as_ref().map(|(e, s)| (e.len(), s.len()));
-        if let Some((executors, schedulers)) = listed
-            && lengths == before
+        let whole = listed.filter(|fleet| fleet.holds(&host.division().name));
+        let size = whole.as_ref().map(Listed::size);
+        if let Some(fleet) = whole
+            && size == before
         {
-            let partitions = Partitions::for_fleet(&executors, &schedulers, &policy);
+            let partitions = Partitions::for_fleet(&fleet.executors, &fleet.schedulers, &policy);
             write(&host, &*store, partitions).await;
         }
-        before = lengths;
+        before = size;
         actix_rt::time::sleep(jitter(policy.count_again * 2)).await;
     }
 }
 
-/// The names of the executors and of the schedulers that the store lists.
-async fn list<S: KeyStore>(store: &S) -> Result<(Vec<String>, Vec<String>), StoreError> {
+/// The names of the processes that the store lists.
+struct Listed {
+    executors: Vec<String>,
+    schedulers: Vec<String>,
+}
+
+impl Listed {
+    /// Whether processes had the time to register: the one of this name has, and some executor.
+    fn holds(&self, scheduler: &str) -> bool {
+        let registered = self.schedulers.iter().any(|name| name == scheduler);
+        registered && !self.executors.is_empty()
+    }
+
+    fn size(&self) -> [usize; 2] {
+        [self.executors.len(), self.schedulers.len()]
+    }
+}
+
+async fn list<S: KeyStore>(store: &S) -> Result<Listed, StoreError> {
     let (executors, _) = store.list(EXECUTORS).await?;
     let (schedulers, _) = store.list(SCHEDULERS).await?;
     let name =
         |prefix: &'static str| move |item: &Item| process_at(prefix, item).ok().map(str::to_owned);
-    Ok((
-        executors.iter().filter_map(name(EXECUTORS)).collect(),
-        schedulers.iter().filter_map(name(SCHEDULERS)).collect(),
-    ))
+    Ok(Listed {
+        executors: executors.iter().filter_map(name(EXECUTORS)).collect(),
+        schedulers: schedulers.iter().filter_map(name(SCHEDULERS)).collect(),
+    })
 }
 
 /// The process that a key of the store is of.
