dispatch: messages and settings for load above the room are agreed on

Cause: five parts (who waits under contention, preemption, workers that are not alike, entries that are not alike, the return after a loss) are built side by side and would each change the schema and the policy.

Change: `Backlog`, `preempts`, `slowness_percent`, `preemptible_cpu_milli`, `busy_percent` in the schema, a section of `node.policy` a part in a file of its own, each off, and the end `preempted`. Nothing reads or sends them yet.

Ruled out: one section for all parts; an operator switches them one by one.

The tests of the policy and of the generated code pass.

--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -157,6 +157,8 @@
             sequence: 0,
             pace_percent: self.health.pace_percent(),
             suspect: self.health.is_suspect(),
+            slowness_percent: 0,
+            preemptible_cpu_milli: 0,
         }
     }
 
--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -283,10 +283,12 @@
     NoRoom,
     /// The worker crashed while it ran there, or it never ran, since too many have.
     Crashed,
+    /// Its run was stopped to make room for a more urgent task.
+    Preempted,
 }
 
 impl EndKind {
-    const ALL: [EndKind; 10] = [
+    const ALL: [EndKind; 11] = [
         EndKind::Done,
         EndKind::Failed,
         EndKind::Stopped,
@@ -297,6 +299,7 @@
         EndKind::Claimed,
         EndKind::NoRoom,
         EndKind::Crashed,
+        EndKind::Preempted,
     ];
 
     /// Its number in messages.
@@ -317,6 +320,7 @@
             EndKind::Claimed => "claimed",
             EndKind::NoRoom => "no-room",
             EndKind::Crashed => "crashed",
+            EndKind::Preempted => "preempted",
         }
     }
 
--- a/lib/src/dispatch/policy.rs
+++ b/lib/src/dispatch/policy.rs
@@ -6,7 +6,12 @@
 //! A mechanism with a switch is on unless its switch is false, so that anybody can repeat the
 //! measurement of what it is worth.
 
+mod balance;
+mod contention;
 mod figure;
+mod preemption;
+mod recovery;
+mod speeds;
 
 use std::time::Duration;
 
@@ -20,7 +25,12 @@
 use crate::findings::Fields;
 use crate::findings::Findings;
 
+pub use crate::dispatch::policy::balance::Balance;
+pub use crate::dispatch::policy::contention::Contention;
 pub use crate::dispatch::policy::figure::Row;
+pub use crate::dispatch::policy::preemption::Preemption;
+pub use crate::dispatch::policy::recovery::Recovery;
+pub use crate::dispatch::policy::speeds::Speeds;
 
 section! {
     /// When a job begins, and when it is refused or given up.
@@ -382,6 +392,16 @@
     leaving: Leaving,
     /// How processes connect.
     links: Links,
+    /// Who goes first while jobs compete for room.
+    contention: Contention,
+    /// When urgent jobs take the room of others.
+    preemption: Preemption,
+    /// How fast workers are.
+    speeds: Speeds,
+    /// When an entry hands fresh jobs to another one.
+    balance: Balance,
+    /// How a fleet that has just come back takes up its work.
+    recovery: Recovery,
 }
 
 impl Admission {
--- a/lib/src/dispatch/policy/figure.rs
+++ b/lib/src/dispatch/policy/figure.rs
@@ -135,7 +135,7 @@
         }
 
         impl $section {
-            fn read(value: &Value, findings: &mut Findings) -> $section {
+            pub(super) fn read(value: &Value, findings: &mut Findings) -> $section {
                 let default = $section::default();
                 let Some(mut fields) = Fields::new(value, concat!("/", $key), findings) else {
                     return default;
@@ -155,7 +155,7 @@
                 section
             }
 
-            fn rows() -> Vec<Row> {
+            pub(super) fn rows() -> Vec<Row> {
                 let section = $section::default();
                 let mut rows = Vec::new();
                 $(
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -178,7 +178,11 @@
                 }
             }
             EndKind::Stalled | EndKind::Lost => task.avoid = Some(key),
-            EndKind::Done | EndKind::Stopped | EndKind::Expired | EndKind::NoRoom => {}
+            EndKind::Done
+            | EndKind::Stopped
+            | EndKind::Expired
+            | EndKind::NoRoom
+            | EndKind::Preempted => {}
         }
         self.queue_job(number);
     }
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -258,6 +258,7 @@
             estimate_ms: crate::clock::millis(job.expected[step as usize]) as u32,
             priority: job.priority,
             spread: s.spread,
+            preempts: false,
         };
         let executor = &mut self.executors[key];
         let detail = format!(
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -81,6 +81,9 @@
     /// At most this many tasks of the step at one worker; 0 for no bound.
     #[prost(uint32, tag = "10")]
     pub spread: u32,
+    /// The receiver may stop runs of less urgent queues to make room for these tasks.
+    #[prost(bool, tag = "11")]
+    pub preempts: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskStart {
@@ -361,6 +364,27 @@
     /// The worker does not answer or its tasks stand still.
     #[prost(bool, tag = "11")]
     pub suspect: bool,
+    /// How long tasks take here against their expected times over many runs, in percent; 0 if not known.
+    #[prost(uint32, tag = "12")]
+    pub slowness_percent: u32,
+    /// What runs that may be stopped for more urgent tasks take, in thousandths of a core.
+    #[prost(uint32, tag = "13")]
+    pub preemptible_cpu_milli: u32,
+}
+/// What waits for room at a scheduler, of one priority.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Backlog {
+    #[prost(uint32, tag = "1")]
+    pub priority: u32,
+    /// In thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub cpu_milli: u64,
+    /// The work of it, in thousandths of a core-second.
+    #[prost(uint64, tag = "3")]
+    pub work_milli: u64,
+    /// How long the oldest job has waited, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub oldest_ms: u32,
 }
 /// The end of a job, told to a peer that follows it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -455,4 +479,10 @@
     /// Jobs that the receiver is to run.
     #[prost(message, repeated, tag = "15")]
     pub handed: ::prost::alloc::vec::Vec<HandedJob>,
+    /// What waits at the sender; a priority that is not named has nothing waiting.
+    #[prost(message, repeated, tag = "16")]
+    pub backlog: ::prost::alloc::vec::Vec<Backlog>,
+    /// What the sender uses of the processor time that it may use, in percent; 0 if not known.
+    #[prost(uint32, tag = "17")]
+    pub busy_percent: u32,
 }
