recovery: entries that have just started wait for no executor whose runs are accounted for, and have a peer read the list

Cause: after the loss of all machines a scheduler claims each job and places nothing before it has met all executors that the store names.

Change: behind recovery.on. An entry that the store has not told the names asks a peer that it has told; the peer reads them anew if its reading is older than the link. An executor says with each report whether it knows all its runs, and with its profile the incarnations for which they run; once it is silent for recovery.silent_ms a claim of a job that nobody has named does not wait for it if all of these are linked and met. Peers that have just started hear of such executors with each heartbeat.

Ruled out: the list as a peer had read it before (an executor may have come since); leaving out silent executors by age alone (a run of a lost scheduler may go on there); the names of the schedulers instead of their incarnations (one that started anew has the name of the one whose run goes on).

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -168,6 +168,8 @@
     profile_edition: u64,
     /// The schedulers that hold leases here, by name, as they are told.
     leased: Vec<String>,
+    /// The incarnations of these, as they are told.
+    owners: Vec<u64>,
     /// Since when that may be out of date.
     leases_stale: Option<Mono>,
     health: Health,
@@ -215,6 +217,7 @@
             last_end: 0,
             profile_edition: reports::edition_of(&proto::Profile::default()),
             leased: Vec::new(),
+            owners: Vec::new(),
             leases_stale: None,
             health: Health::new(setup.policy.health),
             unclean_since: setup.started,
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -58,6 +58,7 @@
     fn send_update(&mut self, now: Mono, name: &str) {
         let worker = Some(self.worker_report(now));
         let departed = self.has_departed(now);
+        let accounted = self.is_accounted(now);
         let told = self.sessions[name].profile_told;
         let untold = told != self.profile_edition;
         let profile = untold.then(|| self.profile_for(name));
@@ -107,6 +108,7 @@
             crashed,
             zone,
             departed,
+            accounted,
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, Box::new(body)));
@@ -187,12 +189,34 @@
         let holders = self.sessions.values().filter(|s| !s.standby);
         let mut leased: Vec<String> = holders.map(|s| s.name.clone()).collect();
         leased.sort();
-        if leased != self.leased {
+        let owners = self.lease_holders();
+        if leased != self.leased || owners != self.owners {
             self.leased = leased;
+            self.owners = owners;
             self.profile_changed();
         }
     }
 
+    /// The incarnations of the schedulers that hold leases here, if schedulers want to know for whom things run.
+    fn lease_holders(&self) -> Vec<u64> {
+        if !self.setup.policy.recovery.on {
+            return Vec::new();
+        }
+        let holders = self.sessions.values().filter(|s| !s.standby);
+        holders.map(|s| s.incarnation).collect()
+    }
+
+    /// Whether all that runs at the worker is known, and runs or waits for schedulers that hold leases, as they are
+    /// told: a scheduler that hears nothing more of this process then knows whose jobs may be at work here.
+    fn is_accounted(&self, now: Mono) -> bool {
+        let holds = |owner: &str| self.sessions.get(owner).is_some_and(|s| !s.standby);
+        self.setup.policy.recovery.on
+            && self.leases_stale.is_none()
+            && self.knows_all_runs(now)
+            && self.runs.values().all(|r| holds(&r.scheduler))
+            && self.queue.iter().all(|w| holds(&w.scheduler))
+    }
+
     /// The profile as one scheduler is told it. One that has just linked counts as holding a lease.
     fn profile_for(&self, owner: &str) -> proto::Profile {
         let mut leased = self.leased.clone();
@@ -208,6 +232,7 @@
         let Some(worker) = &self.worker else {
             return proto::Profile {
                 leased,
+                owners: self.owners.clone(),
                 ..proto::Profile::default()
             };
         };
@@ -217,6 +242,7 @@
             capacity: Some(worker.beat.capacity.proto()),
             labels: worker.beat.labels.clone(),
             leased,
+            owners: self.owners.clone(),
         }
     }
 }
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -21,6 +21,7 @@
 pub(super) struct Session {
     /// The scheduler's name.
     pub name: String,
+    pub incarnation: u64,
     pub link: Option<LinkId>,
     pub lease_until: Mono,
     /// Whether the scheduler places nothing here at present: it needs no lease and seldom a report.
@@ -65,6 +66,7 @@
         let lease_until = now + self.setup.lease;
         let session = self.sessions.entry(owner).or_insert(Session {
             name: greeting.name.clone(),
+            incarnation: greeting.incarnation,
             link: None,
             lease_until,
             standby: false,
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -23,6 +23,8 @@
 mod pace;
 mod peers;
 mod placing;
+mod roster;
+mod silent;
 mod submit;
 
 use std::collections::BTreeMap;
@@ -49,6 +51,7 @@
 use crate::dispatch::scheduler::members::Members;
 use crate::dispatch::scheduler::pace::Paces;
 use crate::dispatch::scheduler::peers::Peer;
+use crate::dispatch::scheduler::roster::RosterSync;
 use crate::dispatch::timings::JobTimings;
 use crate::dispatch::zones::Zones;
 use crate::event::Event;
@@ -151,6 +154,9 @@
     gap: Mono,
     /// The executors that there are, by the store, once that is known.
     roster: Option<BTreeSet<String>>,
+    roster_sync: RosterSync,
+    /// Whether claims have been settled since the start of the process.
+    has_met: bool,
     members: Members,
     /// Which availability zones are evacuated.
     zones: Zones,
@@ -200,6 +206,8 @@
             doubt_stale: false,
             gap: Mono::default(),
             roster: None,
+            roster_sync: RosterSync::default(),
+            has_met: false,
             members: Members::default(),
             zones: Zones::default(),
             zones_flushed: 0,
@@ -330,6 +338,8 @@
         self.watch_executors();
         self.watch_peers();
         self.watch_catalog();
+        self.seek_roster();
+        self.note_silent();
         self.watch_bulkheads();
         self.forget();
         self.settle_claims();
@@ -343,24 +353,6 @@
         self.announced.forget_before(now - memory);
     }
 
-    /// Names the executors that there are. A scheduler that has just started begins to place jobs
-    /// once it has met all of them; while it does not know them it waits for as long as runs can
-    /// last that nobody renews. One that is there but can't be reached from here counts wherever a
-    /// claim must reach all.
-    pub fn set_roster(&mut self, now: Mono, names: Vec<String>) {
-        self.enter(now);
-        self.hear_of_executors(&names);
-        let roster = names.into_iter().collect();
-        if self.roster.as_ref() != Some(&roster) {
-            let unmet = roster.iter().filter(|name| !self.is_met(name)).count();
-            let detail = format!("{} executors, {unmet} of them not met", roster.len());
-            self.log(Kind::RosterKnown, detail);
-        }
-        self.roster = Some(roster);
-        self.settle_claims();
-        self.place();
-    }
-
     /// Names members that were learned elsewhere.
     pub fn add_members(&mut self, now: Mono, members: Vec<proto::Member>) {
         self.enter(now);
--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -144,16 +144,17 @@
     /// Whether the store's list lacks an executor that is linked here: keys can be missing while their
     /// owners live, so others may be missing as well. Without this a task ran twice: the list was empty,
     /// two of four executors were linked, and a peer had the task at work at a third.
-    fn lacks_executors(&self) -> bool {
+    pub(super) fn lacks_executors(&self) -> bool {
         let listed = |name: &String| self.roster.as_ref().is_some_and(|r| r.contains(name));
         let mut linked = self.executors.values().filter(|e| e.link.is_some());
         linked.any(|e| !listed(&e.name))
     }
 
     /// Whether the store's list of the executors should be read again soon: this scheduler has just
-    /// started, and the list is not known or lacks some.
+    /// started, and the list is not known or lacks some, or a peer waits for it.
     pub fn wants_roster(&self) -> bool {
-        self.is_young() && (self.roster.is_none() || self.lacks_executors())
+        let own = self.is_young() && (self.roster.is_none() || self.lacks_executors());
+        own || self.roster_sync.is_wanted()
     }
 
     /// Whether a claim made now reaches every executor that it must reach.
@@ -274,6 +275,7 @@
         if !self.peers_settled() || !(grown || self.has_met_roster()) {
             return;
         }
+        self.note_meeting();
         if grown && !self.reaches_enough() {
             self.end_claimed_young();
         }
@@ -286,6 +288,19 @@
         }
     }
 
+    /// Logs once that claims no longer wait for anybody to be met.
+    fn note_meeting(&mut self) {
+        if std::mem::replace(&mut self.has_met, true) {
+            return;
+        }
+        let after = crate::clock::millis(self.now.since(self.setup.started));
+        let linked = self.executors.values().filter(|e| e.link.is_some()).count();
+        self.log(
+            Kind::ClaimsSettle,
+            format!("after {after} ms, {linked} executors linked"),
+        );
+    }
+
     /// Begins the jobs that were claimed only because a link broke, once every executor that is
     /// known has confirmed: whoever else has one can't run it any more, heard or not.
     fn begin_confirmed(&mut self) {
@@ -315,7 +330,10 @@
         }
         let all = self.must_reach_all();
         let wait = all || self.has_renewed_peer();
-        let may_run = |e: &ExecutorView| wait || !self.is_lost(e);
+        // Nobody is known to have the job: where all that runs is known, it is not among it.
+        let unheard = job.claimed_young && !self.announced.knows(number);
+        let over = |e: &ExecutorView| self.is_lost(e) || (unheard && self.is_accounted(e));
+        let may_run = |e: &ExecutorView| wait || !over(e);
         let open = |key: &ExecutorKey| self.executors.get(*key).is_some_and(may_run);
         let confirmed = !asked.iter().any(open);
         // What a forerunner of this scheduler had started is over by then, asked about or not,
--- a/lib/src/dispatch/scheduler/executor_view.rs
+++ b/lib/src/dispatch/scheduler/executor_view.rs
@@ -5,6 +5,7 @@
 
 use super::members::Members;
 use super::members::Told;
+use super::silent::Hearsay;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::Free;
 use crate::dispatch::model::TaskName;
@@ -66,6 +67,12 @@
     /// While an executor that was started anew has not met its worker: when what its forerunner
     /// had started can not run any more at the latest.
     pub renewed: Option<Mono>,
+    /// Whether it has said last that it knows all that runs at its worker, and for whom.
+    pub accounted: bool,
+    /// What a peer has said of it.
+    pub hearsay: Option<Hearsay>,
+    /// Whether it was logged that claims do not wait for it.
+    pub silence_logged: bool,
     policy: Policy,
 }
 
@@ -104,6 +111,9 @@
             evacuated: false,
             zone_told: 0,
             renewed: None,
+            accounted: false,
+            hearsay: None,
+            silence_logged: false,
         }
     }
 
@@ -134,6 +144,9 @@
         self.members_told = Told::default();
         self.zone_told = 0;
         self.departed = false;
+        self.accounted = false;
+        self.hearsay = None;
+        self.silence_logged = false;
     }
 
     /// Whether tasks of a service may be placed there now.
@@ -222,6 +235,7 @@
         if self.standby {
             let asked = self.hurried > self.heard;
             self.heard = if asked { self.hurried } else { now };
+            self.accounted = false;
         }
         self.link = None;
     }
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -77,7 +77,7 @@
 
     /// Whether an executor is linked, or has said that nothing runs there any more.
     pub(super) fn is_met(&self, name: &str) -> bool {
-        let met = |e: &ExecutorView| e.link.is_some() || e.departed;
+        let met = |e: &ExecutorView| e.link.is_some() || e.departed || self.is_accounted(e);
         let key = self.named.get(name);
         key.is_some_and(|key| met(&self.executors[*key]))
     }
@@ -112,6 +112,8 @@
         executor.heard = now;
         executor.clock_us = executor.clock_us.max(update.clock_us);
         executor.departed = update.departed;
+        // One on standby is heard seldom: what it said last may be old.
+        executor.accounted = update.accounted && !executor.standby;
         if let Some(profile) = update.profile {
             executor.capacity = Demand::from_proto(profile.capacity);
             self.leases.add(&profile.leased);
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -34,6 +34,10 @@
     zone: String,
     /// Whether it takes jobs without claiming them for having just started.
     settled: bool,
+    /// When its present link came up.
+    pub linked_at: Mono,
+    /// Whether the store has told it which executors there are.
+    roster_read: bool,
     pub version: u64,
     /// What it is told next.
     pub out: proto::PeerUpdate,
@@ -66,6 +70,8 @@
             && out.catalog.is_empty()
             && out.executors.is_empty()
             && out.handed.is_empty()
+            && out.roster.is_empty()
+            && !out.roster_wanted
             && !out.catalog_wanted)
     }
 
@@ -79,6 +85,21 @@
         self.settled && !self.leaving
     }
 
+    /// Whether it is linked and the store has told it which executors there are.
+    pub fn reads_roster(&self) -> bool {
+        self.link.is_some() && self.roster_read
+    }
+
+    /// Whether it is linked in this incarnation and has said which jobs it has.
+    pub fn is_met_in(&self, incarnation: u64) -> bool {
+        self.link.is_some() && self.met && self.incarnation == incarnation
+    }
+
+    /// Whether it is linked and has to claim jobs for having just started.
+    pub fn is_starting(&self) -> bool {
+        self.link.is_some() && !self.settled
+    }
+
     /// Whether it is in an availability zone.
     pub fn is_in(&self, zone: &str) -> bool {
         self.zone == zone
@@ -194,6 +215,8 @@
         peer.address.clone_from(&greeting.address);
         peer.zone.clone_from(&greeting.zone);
         peer.settled = false;
+        peer.linked_at = now;
+        peer.roster_read = false;
         peer.heard = now;
         peer.met = false;
         peer.leaving = false;
@@ -272,6 +295,7 @@
             peer.version = update.catalog_version;
             peer.leaving = update.leaving;
             peer.settled = update.settled;
+            peer.roster_read = update.roster_read;
         }
         for job in update.jobs {
             self.note_rival(JobNumber(job));
@@ -305,6 +329,13 @@
             self.hear_of_zone(state, name);
         }
         self.hear_of_executors(&update.executors);
+        for silent in update.silent {
+            self.hear_silent(silent);
+        }
+        self.hear_roster(name, update.roster);
+        if update.roster_wanted {
+            self.roster_wanted_by(name);
+        }
         if !update.catalog.is_empty() {
             self.read_catalog(name, &update.catalog);
         }
@@ -384,6 +415,8 @@
         let edition = self.zones.edition();
         let leaving = self.leaving.is_some();
         let settled = !leaving && !self.is_young() && version > 0;
+        let roster_read = self.setup.policy.recovery.on && self.roster_sync.is_read();
+        let silent = self.silent_executors();
         let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
         let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
@@ -406,6 +439,10 @@
             }
             update.leaving = leaving;
             update.settled = settled;
+            update.roster_read = roster_read;
+            if peer.is_starting() {
+                update.silent.clone_from(&silent);
+            }
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
             self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -114,6 +114,9 @@
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
     Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
+    RosterFromPeer = 480, Info, "a peer has read the names of the executors, as the store did not tell them here";
+    ExecutorAccounted = 481, Info, "an executor is silent; jobs of this process do not wait for it, as it is known for whom it runs tasks";
+    ClaimsSettle = 482, Info, "this process has met all others since its start; jobs that were claimed begin";
 }
 
 /// One occurrence of an event.
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -310,6 +310,9 @@
     /// The sender leaves: nothing runs at its worker, and it starts nothing more.
     #[prost(bool, tag = "12")]
     pub departed: bool,
+    /// All that runs at its worker is known to the sender, and runs for `Profile.owners` as it was last told.
+    #[prost(bool, tag = "13")]
+    pub accounted: bool,
 }
 /// What changes seldom of an executor and its worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -326,6 +329,9 @@
     /// Schedulers that may place tasks here, by name: those that are not on standby and whose lease runs.
     #[prost(string, repeated, tag = "5")]
     pub leased: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The incarnations of these.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub owners: ::prost::alloc::vec::Vec<u64>,
 }
 /// A run that goes slowly.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -485,4 +491,26 @@
     /// What the sender uses of the processor time that it may use, in percent; 0 if not known.
     #[prost(uint32, tag = "17")]
     pub busy_percent: u32,
+    /// The sender has just started and wants the receiver to read the names of the executors from the store for it.
+    #[prost(bool, tag = "18")]
+    pub roster_wanted: bool,
+    /// These names, read after the receiver had linked to the sender.
+    #[prost(string, repeated, tag = "19")]
+    pub roster: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Executors that the sender hears no more, and for whom things may still run there. Told to a receiver that has just
+    /// started, with each heartbeat.
+    #[prost(message, repeated, tag = "20")]
+    pub silent: ::prost::alloc::vec::Vec<SilentExecutor>,
+    /// The store has told the sender the names of the executors.
+    #[prost(bool, tag = "21")]
+    pub roster_read: bool,
+}
+/// An executor that was heard in its present incarnation and is silent.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SilentExecutor {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// The incarnations of the schedulers for which things may run at its worker.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub owners: ::prost::alloc::vec::Vec<u64>,
 }
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -1,5 +1,6 @@
 //! The executor: room, leases, claims, and orders that get no answer.
 
+mod accounts;
 mod claims;
 mod crashes;
 mod evacuation;
@@ -57,6 +58,10 @@
     }
 
     fn new() -> Bench {
+        Bench::with_policy(Policy::default())
+    }
+
+    fn with_policy(policy: Policy) -> Bench {
         let setup = ExecutorSetup {
             name: "e".to_owned(),
             zone: "z".to_owned(),
@@ -66,7 +71,7 @@
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
             heartbeat: Duration::from_millis(1500),
-            policy: Policy::default(),
+            policy,
         };
         Bench {
             executor: Executor::new(setup),
--- /dev/null
+++ b/lib/tests/runner/test_scheduler/returning.rs
@@ -0,0 +1,238 @@
+//! A scheduler that has just started in a fleet that comes back: whom it waits for before it places jobs.
+
+use super::*;
+
+/// The incarnation of the peer.
+const PEER_LIFE: u64 = 2;
+/// An incarnation that nobody has greeted with.
+const STRANGER: u64 = 9;
+
+fn recovering() -> Bench {
+    let mut policy = Policy::default();
+    policy.recovery.on = true;
+    started(policy)
+}
+
+/// A scheduler that has just started, with a peer that the store answers and an executor.
+fn started(policy: Policy) -> Bench {
+    let mut bench = Bench::with_policy(policy);
+    bench.scheduler.set_catalog(bench.now, catalog(3));
+    bench.link(EXECUTOR, "e1", true);
+    bench.link_life(PEER_LIFE, PEER, "s2", false);
+    bench.peer(proto::PeerUpdate {
+        roster_read: true,
+        ..proto::PeerUpdate::default()
+    });
+    bench
+}
+
+fn names(count: usize) -> Vec<String> {
+    (1..=count).map(|n| format!("e{n}")).collect()
+}
+
+fn confirm(bench: &mut Bench) {
+    bench.update(proto::Update {
+        claimed: vec![7],
+        profile: Some(profile(vec!["s1".to_owned(), "s2".to_owned()])),
+        ..proto::Update::default()
+    });
+}
+
+/// The second executor says once for whom things run there, and nothing more.
+fn last_word(bench: &mut Bench, accounted: bool, owners: Vec<u64>) {
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    let update = proto::Update {
+        profile: Some(proto::Profile {
+            owners,
+            ..profile(vec!["s1".to_owned(), "s2".to_owned()])
+        }),
+        accounted,
+        ..proto::Update::default()
+    };
+    bench.update_on(OTHER_EXECUTOR, update);
+}
+
+/// Lets time pass in which the first executor and the peer are heard.
+fn pass_heard(bench: &mut Bench, ms: u64, silent: &[proto::SilentExecutor]) {
+    for _ in 0..ms / 20 {
+        bench.pass(20);
+        confirm(bench);
+        bench.peer(proto::PeerUpdate {
+            silent: silent.to_vec(),
+            roster_read: true,
+            ..proto::PeerUpdate::default()
+        });
+    }
+}
+
+fn to_peer(bench: &Bench) -> Vec<proto::PeerUpdate> {
+    sent_on(bench, PEER)
+}
+
+fn sent_on(bench: &Bench, link: LinkId) -> Vec<proto::PeerUpdate> {
+    let sent = bench.actions.iter().filter_map(|a| match a {
+        Action::Send(on, body) if *on == link => match &**body {
+            Body::Peer(update) => Some(update.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn test_scheduler_that_the_store_turns_away_has_a_peer_read_the_executors() {
+    let mut bench = recovering();
+    bench.submit_of(1, 7, 1, 900);
+    pass_heard(&mut bench, 60, &[]);
+    assert!(to_peer(&bench).iter().any(|u| u.roster_wanted));
+    pass_heard(&mut bench, 100, &[]);
+    assert_eq!(
+        bench.starts(),
+        [],
+        "there may be executors it does not know"
+    );
+    bench.peer(proto::PeerUpdate {
+        roster: names(1),
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_that_is_told_of_an_executor_it_has_not_met_waits_for_it() {
+    let mut bench = recovering();
+    bench.submit_of(1, 7, 1, 900);
+    pass_heard(&mut bench, 60, &[]);
+    bench.peer(proto::PeerUpdate {
+        roster: names(2),
+        ..proto::PeerUpdate::default()
+    });
+    pass_heard(&mut bench, 600, &[]);
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_asks_no_peer_for_the_executors_unless_it_is_to() {
+    let mut bench = started(Policy::default());
+    pass_heard(&mut bench, 600, &[]);
+    assert!(to_peer(&bench).iter().all(|u| !u.roster_wanted));
+}
+
+#[test]
+fn test_scheduler_reads_the_executors_anew_for_a_peer_that_has_started_since() {
+    let mut bench = recovering();
+    bench.scheduler.set_roster(bench.now, names(1));
+    bench.pass(20);
+    bench.link_life(PEER_LIFE + 1, OTHER_PEER, "s3", false);
+    let began = bench.now;
+    let wanted = proto::PeerUpdate {
+        roster_wanted: true,
+        ..proto::PeerUpdate::default()
+    };
+    bench.peer_on(OTHER_PEER, wanted);
+    bench.pass(20);
+    let told = |b: &Bench| sent_on(b, OTHER_PEER).iter().any(|u| u.roster == names(1));
+    assert!(!told(&bench), "it was read before s3 had started");
+    assert!(bench.scheduler.wants_roster());
+    bench.scheduler.set_roster_read(bench.now, began, names(1));
+    bench.pass(20);
+    assert!(told(&bench));
+    assert!(!bench.scheduler.wants_roster());
+}
+
+/// A job that came just after the start, and an executor that is lost after its last word.
+fn with_silent_executor(accounted: bool, owners: Vec<u64>) -> Bench {
+    let mut bench = recovering();
+    bench.scheduler.set_roster(bench.now, names(2));
+    last_word(&mut bench, accounted, owners);
+    bench.submit_of(1, 7, 1, 900);
+    bench
+}
+
+#[test]
+fn test_scheduler_does_not_wait_for_a_silent_executor_that_ran_for_those_it_has_met() {
+    let mut bench = with_silent_executor(true, vec![1, PEER_LIFE]);
+    pass_heard(&mut bench, 200, &[]);
+    assert_eq!(bench.starts(), [], "it may only be late");
+    pass_heard(&mut bench, 140, &[]);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_does_not_wait_for_an_executor_whose_link_broke() {
+    let mut bench = with_silent_executor(true, vec![1, PEER_LIFE]);
+    bench.scheduler.link_down(bench.now, OTHER_EXECUTOR);
+    pass_heard(&mut bench, 340, &[]);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_waits_for_a_silent_executor_that_did_not_know_all_its_runs() {
+    let mut bench = with_silent_executor(false, vec![1, PEER_LIFE]);
+    pass_heard(&mut bench, 800, &[]);
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_waits_for_a_silent_executor_that_ran_for_somebody_it_has_not_met() {
+    let mut bench = with_silent_executor(true, vec![1, PEER_LIFE, STRANGER]);
+    pass_heard(&mut bench, 800, &[]);
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_waits_for_a_silent_executor_that_ran_for_a_peer_that_is_lost() {
+    let mut bench = with_silent_executor(true, vec![1, PEER_LIFE]);
+    bench.scheduler.link_down(bench.now, PEER);
+    for _ in 0..40 {
+        bench.pass(20);
+        confirm(&mut bench);
+    }
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_hears_from_a_peer_for_whom_an_executor_ran_that_it_never_met() {
+    let mut bench = recovering();
+    bench.scheduler.set_roster(bench.now, names(2));
+    bench.submit_of(1, 7, 1, 900);
+    pass_heard(&mut bench, 200, &[]);
+    assert_eq!(bench.starts(), []);
+    let silent = proto::SilentExecutor {
+        name: "e2".to_owned(),
+        owners: vec![PEER_LIFE],
+    };
+    pass_heard(&mut bench, 40, &[silent]);
+    assert_eq!(bench.starts(), [(7, 0, 1)]);
+}
+
+#[test]
+fn test_scheduler_forgets_what_a_peer_does_not_say_any_more() {
+    let mut bench = recovering();
+    bench.scheduler.set_roster(bench.now, names(2));
+    let silent = proto::SilentExecutor {
+        name: "e2".to_owned(),
+        owners: vec![PEER_LIFE],
+    };
+    pass_heard(&mut bench, 20, &[silent]);
+    pass_heard(&mut bench, 300, &[]);
+    bench.submit_of(1, 7, 1, 900);
+    pass_heard(&mut bench, 300, &[]);
+    assert_eq!(bench.starts(), []);
+}
+
+#[test]
+fn test_scheduler_tells_peers_that_have_just_started_of_silent_executors() {
+    let mut bench = with_silent_executor(true, vec![1]);
+    pass_heard(&mut bench, 400, &[]);
+    let told = |u: &proto::PeerUpdate| u.silent.iter().any(|s| s.name == "e2" && s.owners == [1]);
+    assert!(to_peer(&bench).iter().any(told));
+    bench.actions.clear();
+    bench.peer(proto::PeerUpdate {
+        settled: true,
+        ..proto::PeerUpdate::default()
+    });
+    bench.pass(120);
+    assert!(to_peer(&bench).iter().all(|u| u.silent.is_empty()));
+}
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -64,6 +64,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also ask executors to leave, and start them again"),
         )
+        .arg(
+            Arg::new("recovering")
+                .long("recovering")
+                .action(ArgAction::SetTrue)
+                .help("Let schedulers that have just started serve early, while the store turns some away"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -106,6 +112,7 @@
             evacuating: matches.get_flag("evacuating"),
             leaving: matches.get_flag("leaving"),
             departing: matches.get_flag("departing"),
+            recovering: matches.get_flag("recovering"),
             reborn: matches.get_flag("reborn"),
             suspensions,
             trace,
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -39,6 +39,8 @@
 pub const RECOVERED: u64 = 80;
 /// How likely a loss of many is at each step.
 const LOSSES: f64 = 0.004;
+/// The share of schedulers that the store turns away when they start.
+const UNSERVED: f64 = 0.4;
 /// How likely a job has a task that takes workers down.
 const CRASHING: f64 = 0.02;
 /// How likely a worker's room changes at each step.
@@ -87,6 +89,8 @@
     pub departing: bool,
     /// Whether workers that have crashed come up under the id that they had.
     pub reborn: bool,
+    /// Whether schedulers that have just started serve before they have met everybody, while the store turns some away.
+    pub recovering: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -109,9 +113,12 @@
         plan.seed,
         (SCHEDULERS, EXECUTORS, zones),
         Callers::default().catalog,
-        policy(plan.cell),
+        policy(plan.cell, plan.recovering),
     );
     world.trace = plan.trace;
+    if plan.recovering {
+        world.unserved = UNSERVED;
+    }
     if plan.reborn {
         world.keep_worker_ids();
     }
@@ -175,8 +182,9 @@
 }
 
 /// The policy under which a scheduler places tasks at `cell` executors, and at one more when they are full.
-fn policy(cell: u32) -> Policy {
+fn policy(cell: u32, recovering: bool) -> Policy {
     let mut policy = Policy::default();
+    policy.recovery.on = recovering;
     if cell > 0 {
         policy.cells.size = cell;
         policy.cells.lent = 1;
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -122,6 +122,8 @@
     life: u64,
     skew: u64,
     frozen_until: u64,
+    /// When it was last told which executors there are, or will be.
+    roster_at: u64,
     /// Since when it has run and the store has served it; none while the store turns it away.
     served_since: Option<u64>,
 }
@@ -160,6 +162,8 @@
     pub answers: Vec<(u64, JobNumber, JobOutcome)>,
     /// The figures that decide.
     pub policy: Policy,
+    /// The share of schedulers that the store does not tell which executors there are in their first seconds.
+    pub unserved: f64,
     /// Whether log lines and what happens at the workers are printed.
     pub trace: bool,
     /// Whether a worker that has crashed comes up under the id that it had.
@@ -214,6 +218,7 @@
             network: Network::default(),
             late: 0.0,
             lost: 0.0,
+            unserved: 0.0,
             steps: 0,
             answers: Vec::new(),
             trace: false,
@@ -357,7 +362,10 @@
             return;
         }
         match node {
-            Node::Scheduler(n) => self.with_scheduler(n, |s, now| s.tick(now)),
+            Node::Scheduler(n) => {
+                self.with_scheduler(n, |s, now| s.tick(now));
+                self.read_wanted_roster(n, life);
+            }
             Node::Executor(n) => self.with_executor(n, life, |e, now| e.tick(now)),
         }
         self.at(TICK_US, Due::Tick(node, life));
--- a/lib/testutils/src/dispatch/world/lives.rs
+++ b/lib/testutils/src/dispatch/world/lives.rs
@@ -4,6 +4,10 @@
 
 /// How long a process that leaves has, in microseconds.
 const LEAVE_US: u64 = 1_500_000;
+/// A scheduler that the store does not serve is told after this long which executors there are, in microseconds.
+const UNSERVED_US: u64 = 2_500_000;
+/// One that wants to read that again does so after this long, in microseconds.
+const ROSTER_AGAIN_US: u64 = 120_000;
 /// An executor that leaves is looked at this often, in microseconds.
 const DEPARTING_US: u64 = 10_000;
 
@@ -62,6 +66,7 @@
             life,
             skew,
             frozen_until: 0,
+            roster_at: 0,
             served_since: self.evacuations.serves(number).then_some(self.now),
         }
     }
@@ -71,7 +76,10 @@
         let life = self.life(node);
         self.at(100, Due::Tick(node, life));
         if let Node::Scheduler(number) = node {
-            self.at(ROSTER_US, Due::Roster(number, life));
+            let unserved = self.unserved > 0.0 && self.rng.random_bool(self.unserved);
+            let wait = if unserved { UNSERVED_US } else { ROSTER_US };
+            self.schedulers[number].roster_at = self.now + wait;
+            self.at(wait, Due::Roster(number, life));
         }
         if let Node::Executor(number) = node {
             self.at(RECALL_US, Due::Recall(number, life));
@@ -132,6 +140,16 @@
         }
     }
 
+    /// A scheduler whose peers want to know which executors there are reads that again, if the store serves it.
+    pub(super) fn read_wanted_roster(&mut self, n: usize, life: u64) {
+        let node = &mut self.schedulers[n];
+        let wanted = self.unserved > 0.0 && node.scheduler.wants_roster();
+        if wanted && node.roster_at + ROSTER_AGAIN_US <= self.now {
+            node.roster_at = self.now + ROSTER_US;
+            self.at(ROSTER_US, Due::Roster(n, life));
+        }
+    }
+
     /// The store accepts a newer catalog, and tells the schedulers that it `serves`.
     pub fn accept_catalog(&mut self, catalog: Catalog, serves: impl Fn(usize) -> bool) {
         let json = serde_json::to_vec(&catalog).expect("texts and numbers have a JSON form");
