dispatch: entries tell each other what waits, and place and refuse by it

Cause: each scheduler knew only its own jobs. A job of a patient queue here took room that urgent work waited for beside it, priorities other than 0 were one class, the first job that did not fit ended a round of placing, and a job was refused only once its last sure start had passed.

Ruled out: a coordinator or a queue in the store (the store may be away for as long as it likes); new messages (the heartbeats between schedulers carry the few rows).

Change: with `contention.on` schedulers tell what waits by priority with the messages that go anyway; a round goes by priority, yields to more urgent work at peers, lets others past a job that does not fit for half of its time, and serves a kind first of which too few are served; a job that would start too late by a margin is refused as it comes; refused callers come back one after another. Off by default.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -144,6 +144,20 @@
         ("zones_evacuated", scheduler.evacuated().count() as i64),
     ];
     page.gauges("state", "What the scheduler holds now.", &held);
+    let [own, fleet] = scheduler.backlogs();
+    let places = [("here", own), ("fleet", fleet)];
+    let waiting: Vec<(String, i64)> = places
+        .iter()
+        .flat_map(|(place, backlog)| {
+            let name = move |priority| format!("{place}, priority {priority}");
+            backlog
+                .rows()
+                .map(move |(priority, w)| (name(priority), w.cpu_milli as i64))
+        })
+        .collect();
+    let waiting: Vec<(&str, i64)> = waiting.iter().map(|(of, n)| (of.as_str(), *n)).collect();
+    let help = "Room that waiting work needs, in thousandths of a core, by priority.";
+    page.gauges("backlog_milli_cores", help, &waiting);
     let ages = scheduler.ages(now);
     let ages = [
         ("configuration", clock::millis(ages.catalog) as i64),
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -11,6 +11,7 @@
 //! `docs/design/platform.md` says why the work is divided in this way.
 
 pub mod catalog;
+pub mod contention;
 pub mod crashes;
 pub mod executor;
 pub mod forwarder;
--- /dev/null
+++ b/lib/src/dispatch/contention/tests.rs
@@ -0,0 +1,230 @@
+//! Tests of decisions about jobs that compete for room.
+
+use super::arrival::Verdict;
+use super::arrival::judge;
+use super::backlog::Backlog;
+use super::backlog::PeerBacklogs;
+use super::backlog::Waiting;
+use super::drain::Drain;
+use super::drain::Forecast;
+use super::returning::Returns;
+use super::round::Entrant;
+use super::round::Round;
+use super::round::Turn;
+use super::shares::Shares;
+use crate::dispatch::policy::Contention;
+use crate::prelude::*;
+
+const AGE: Duration = Duration::from_millis(350);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn at(n: u64) -> Mono {
+    Mono::default() + ms(n)
+}
+
+fn waiting(cpu_milli: u64) -> Waiting {
+    Waiting {
+        cpu_milli,
+        work_milli: cpu_milli / 10,
+        oldest: ms(10),
+    }
+}
+
+fn backlog(rows: &[(u32, u64)]) -> Backlog {
+    let mut backlog = Backlog::default();
+    for (priority, cpu) in rows {
+        backlog.add(*priority, waiting(*cpu));
+    }
+    backlog
+}
+
+#[test]
+fn test_backlog_tells_few_priorities_and_loses_no_work() {
+    let rows: Vec<(u32, u64)> = (0..20).map(|priority| (priority, 100)).collect();
+    let all = backlog(&rows);
+    let told = all.proto();
+    assert_eq!(told.len(), 8);
+    let read = Backlog::from_proto(&told);
+    assert_eq!(read.cpu_milli(), all.cpu_milli());
+    assert_eq!(read.up_to(6), 700);
+    assert_eq!(
+        read.up_to(18),
+        700,
+        "what is told as one is the least urgent"
+    );
+}
+
+#[test]
+fn test_peer_backlogs_count_while_they_are_fresh() {
+    let mut peers = PeerBacklogs::default();
+    peers.note(at(0), "a", backlog(&[(0, 1000), (2, 500)]));
+    assert_eq!(peers.now(at(100), AGE, 0.0).before(2), 1000);
+    assert!(peers.now(at(2000), AGE, 0.0).is_empty(), "two seconds old");
+}
+
+#[test]
+fn test_peer_backlogs_are_forgotten_with_the_link() {
+    let mut peers = PeerBacklogs::default();
+    peers.note(at(0), "a", backlog(&[(0, 1000)]));
+    peers.note(at(0), "b", backlog(&[(0, 70)]));
+    peers.forget("a");
+    assert_eq!(peers.now(at(10), AGE, 0.0).up_to(0), 70);
+}
+
+#[test]
+fn test_peer_backlogs_give_the_most_urgent_what_came_free_since() {
+    let mut peers = PeerBacklogs::default();
+    peers.note(at(0), "a", backlog(&[(0, 1000), (2, 500)]));
+    let left = peers.now(at(100), AGE, 12_000.0);
+    assert_eq!(left.up_to(0), 0);
+    assert_eq!(left.up_to(2), 300);
+}
+
+fn drained() -> Drain {
+    let mut drain = Drain::default();
+    for _ in 0..100 {
+        drain.note(2000, ms(200));
+    }
+    drain
+}
+
+#[test]
+fn test_drain_is_what_is_used_through_the_time_it_is_held() {
+    let rate = drained().rate(100_000).expect("enough runs");
+    assert!((rate - 500_000.0).abs() < 1.0, "{rate}");
+    let mut few = Drain::default();
+    few.note(2000, ms(200));
+    assert_eq!(few.rate(100_000), None);
+}
+
+fn forecast(own: u64, peers: u64, free: u64) -> Forecast {
+    Forecast {
+        own,
+        peers,
+        need: 10_000,
+        free,
+        rate: 500_000.0,
+    }
+}
+
+#[test]
+fn test_judge_refuses_what_is_behind_by_a_margin_only() {
+    let policy = Contention::default();
+    let slack = ms(80);
+    let behind = forecast(50_000, 100_000, 0);
+    assert_eq!(judge(&behind, slack, &policy), Verdict::Refuse);
+    let close = forecast(20_000, 30_000, 0);
+    assert!(close.wait() > slack);
+    assert_eq!(judge(&close, slack, &policy), Verdict::Hold);
+}
+
+#[test]
+fn test_judge_never_refuses_while_there_is_room() {
+    let policy = Contention::default();
+    let room = forecast(1_000_000, 1_000_000, 10_000);
+    assert_eq!(judge(&room, ms(0), &policy), Verdict::Admit);
+}
+
+fn entrant(class: u8, least: u64, patient_until: u64) -> Entrant {
+    Entrant {
+        class,
+        owed: false,
+        least,
+        patient_until: at(patient_until),
+    }
+}
+
+#[test]
+fn test_round_goes_on_behind_a_job_that_does_not_fit() {
+    let mut round = Round::new(at(0), 10_000, 4);
+    round.miss(&entrant(3, 20_000, 40));
+    assert_eq!(round.turn(&entrant(3, 2000, 40), 0), Turn::Try);
+    assert_eq!(round.turn(&entrant(4, 2000, 40), 0), Turn::Yield);
+}
+
+#[test]
+fn test_round_leaves_room_to_a_job_that_has_waited_for_long() {
+    let mut round = Round::new(at(50), 10_000, 4);
+    round.miss(&entrant(3, 20_000, 40));
+    assert_eq!(round.turn(&entrant(3, 2000, 90), 0), Turn::Yield);
+}
+
+#[test]
+fn test_round_yields_to_urgent_work_at_peers_unless_there_is_room_for_both() {
+    let round = Round::new(at(0), 10_000, 4);
+    assert_eq!(round.turn(&entrant(4, 2000, 40), 9000), Turn::Yield);
+    assert_eq!(round.turn(&entrant(4, 2000, 40), 8000), Turn::Try);
+    let owed = Entrant {
+        owed: true,
+        ..entrant(1, 2000, 40)
+    };
+    assert_eq!(round.turn(&owed, 9000), Turn::Try);
+}
+
+#[test]
+fn test_round_ends_after_some_misses() {
+    let mut round = Round::new(at(0), 10_000, 2);
+    round.miss(&entrant(3, 20_000, 40));
+    assert!(!round.is_over());
+    round.miss(&entrant(3, 20_000, 40));
+    assert!(round.is_over());
+}
+
+/// Notes jobs of two priorities, of which one in `served_of` of the less urgent is served.
+fn shares(served_of: u32) -> Shares {
+    let policy = Contention::default();
+    let mut shares = Shares::default();
+    for n in 0..60 {
+        let now = at(u64::from(n));
+        shares.note(now, 0, 5000, true, &policy);
+        shares.note(now, 2, 5000, n % served_of == 0, &policy);
+    }
+    shares
+}
+
+#[test]
+fn test_shares_owe_a_kind_that_is_served_less_than_half_as_often() {
+    let policy = Contention::default();
+    let starved = shares(3);
+    let patient = starved.kind(2, 5000);
+    assert!(starved.is_owed(patient, &policy));
+    assert!(!starved.is_owed(starved.kind(0, 5000), &policy));
+    assert!(!shares(1).is_owed(patient, &policy));
+}
+
+#[test]
+fn test_shares_tell_the_largest_tenth() {
+    let policy = Contention::default();
+    let mut shares = Shares::default();
+    for n in 0..2000u64 {
+        let cpu = 1000 * (1 + n * 7 % 20);
+        shares.note(at(n), 1, cpu, true, &policy);
+    }
+    assert!(shares.kind(1, 20_000).large);
+    assert!(!shares.kind(1, 12_000).large);
+}
+
+#[test]
+fn test_shares_forget_what_is_long_ago() {
+    let policy = Contention::default();
+    let mut shares = shares(60);
+    let patient = shares.kind(2, 5000);
+    assert!(shares.is_owed(patient, &policy));
+    shares.note(at(60_000), 0, 5000, true, &policy);
+    assert!(!shares.is_owed(patient, &policy));
+}
+
+#[test]
+fn test_returns_follow_each_other_as_room_comes() {
+    let policy = Contention::default();
+    let mut returns = Returns::default();
+    let mut away = |wait| returns.stay_away(at(0), ms(wait), ms(100), ms(400), &policy);
+    assert_eq!(away(0), ms(400));
+    assert_eq!(away(0), ms(500), "the first to be turned away comes first");
+    assert_eq!(away(900), ms(900), "not before what waits has had its room");
+    let last = (0..100).map(|_| away(0)).last();
+    assert_eq!(last, Some(policy.return_most));
+}
--- a/lib/src/dispatch/policy/contention.rs
+++ b/lib/src/dispatch/policy/contention.rs
@@ -1,5 +1,7 @@
 //! The policy of jobs that compete for too little room.
 
+use std::time::Duration;
+
 use serde_json::Value;
 
 use super::figure::Figure;
@@ -13,5 +15,23 @@
     Contention ("contention") {
         /// Whether what waits at other schedulers counts here, and jobs that can't be reached in time are refused as they come.
         on: switch = false, ();
+        /// What peers told of their backlogs counts for so long. Three and a half heartbeats.
+        told_age: ms = 350, 1..=60_000;
+        /// A job is refused as it comes if it would wait this many times as long as it can. A forecast is off by a third where the times of tasks are.
+        refuse_margin: ratio = 1.5, 1.0..=100.0;
+        /// And so long beyond that: what was told may be older than a heartbeat.
+        refuse_after: ms = 20, 0..=60_000;
+        /// A kind of jobs goes before more urgent ones while less of it is served than this part of what is served of all others. Callers of wide and patient jobs are promised half.
+        least_served: ratio = 0.5, 0.0..=1.0;
+        /// What became of jobs counts for about so long in that. A few bursts of a second.
+        share_memory: ms = 4000, 100..=600_000;
+        /// Others go past a job that does not fit until this share of the time that it can wait has passed.
+        pass_share: ratio = 0.5, 0.0..=1.0;
+        /// A round of placing ends after so many jobs that did not fit, so that a long queue costs little.
+        round_misses: count = 4, 1..=1000;
+        /// The part of the room that comes free which callers that return may fill; the rest is left to those that come for the first time.
+        return_share: ratio = 0.5, 0.01..=1.0;
+        /// Callers that are refused stay away for so long at most.
+        return_most: ms = 4000, 1..=600_000;
     }
 }
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -10,6 +10,7 @@
 mod catalog_sync;
 mod cell;
 mod claims;
+mod contention;
 mod ends;
 mod evacuations;
 mod executor_view;
@@ -41,6 +42,7 @@
 use crate::dispatch::scheduler::bulkhead::Bulkheads;
 use crate::dispatch::scheduler::catalog_sync::CatalogSync;
 use crate::dispatch::scheduler::cell::Cell;
+use crate::dispatch::scheduler::contention::Contention;
 use crate::dispatch::scheduler::executor_view::ExecutorView;
 use crate::dispatch::scheduler::fleet::ExecutorKey;
 use crate::dispatch::scheduler::following::Following;
@@ -140,6 +142,7 @@
     /// How many linked executors have granted a lease to a scheduler, by its name.
     leases: Leases,
     cell: Cell,
+    contention: Contention,
     paces: Paces,
     bulkheads: Bulkheads,
     peers: BTreeMap<String, Peer>,
@@ -193,6 +196,7 @@
             sweep: true,
             leases: Leases::default(),
             cell: Cell::default(),
+            contention: Contention::default(),
             paces: Paces::default(),
             bulkheads: Bulkheads::default(),
             peers: BTreeMap::new(),
@@ -331,6 +335,7 @@
         self.watch_peers();
         self.watch_catalog();
         self.watch_bulkheads();
+        self.watch_contention();
         self.forget();
         self.settle_claims();
         self.place();
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -90,6 +90,7 @@
             return;
         };
         let step = &job.request.steps[name.step as usize];
+        self.contention.note_run(step.demand.cpu_milli, ran);
         if step.estimate_ms == 0 {
             return;
         }
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -247,6 +247,7 @@
             return;
         };
         peer.link = None;
+        self.contention.forget(name);
         let unheard = self.now.since(peer.heard);
         let abrupt = unheard < self.setup.policy.claims.pause;
         if abrupt && !peer.leaving {
@@ -273,6 +274,7 @@
             peer.leaving = update.leaving;
             peer.settled = update.settled;
         }
+        self.hear_backlog(name, &update.backlog);
         for job in update.jobs {
             self.note_rival(JobNumber(job));
             self.announced.note(JobNumber(job), name, now);
@@ -384,6 +386,7 @@
         let edition = self.zones.edition();
         let leaving = self.leaving.is_some();
         let settled = !leaving && !self.is_young() && version > 0;
+        let backlog = self.backlog_news();
         let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
         let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
@@ -406,6 +409,7 @@
             }
             update.leaving = leaving;
             update.settled = settled;
+            update.backlog.clone_from(&backlog);
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
             self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -18,13 +18,15 @@
 
 /// Jobs that have begun and can still meet their objective. They go first: what they have used is
 /// lost if they are not finished, and so at most one job at a time stands half placed.
-const BEGUN: u8 = 0;
+pub(super) const BEGUN: u8 = 0;
 /// Jobs of the most urgent queues that have not begun.
 const URGENT: u8 = 1;
 /// Other jobs that have not begun.
 const FRESH: u8 = 2;
+/// Jobs that have not begun, of a kind of which too few are served. Those of each priority come next; see `contention`.
+pub(super) const OWED: u8 = 1;
 /// Jobs that have begun and will be late.
-const LATE: u8 = 3;
+pub(super) const LATE: u8 = u8::MAX;
 
 /// A task and where it goes.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +42,7 @@
     pub(super) fn queue_job(&mut self, number: JobNumber) {
         let now = self.now;
         let finish_share = self.setup.policy.admission.finish_share;
+        let contention = &self.setup.policy.contention;
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
@@ -52,6 +55,7 @@
                 (true, true) => BEGUN,
                 (true, false) if job.waiting_share() <= finish_share => BEGUN,
                 (true, false) => LATE,
+                (false, _) if contention.on => self.contention.class(job, contention),
                 (false, _) if job.priority == 0 => URGENT,
                 (false, _) => FRESH,
             };
@@ -74,6 +78,9 @@
         if self.waiting.is_empty() {
             return;
         }
+        if self.contends() {
+            return self.place_by_class();
+        }
         let most = self.setup.policy.admission.round_jobs as usize;
         let numbers: Vec<(u8, JobNumber)> =
             self.waiting.iter().take(most).map(|w| (w.0, w.2)).collect();
@@ -100,7 +107,7 @@
 
     /// Places the ready tasks of a job. A fresh job is placed once there is room for most of it,
     /// unless it is so wide that this would never be.
-    fn place_job(&mut self, number: JobNumber) {
+    pub(super) fn place_job(&mut self, number: JobNumber) {
         let Some(mut job) = self.jobs.remove(&number) else {
             return;
         };
@@ -116,7 +123,7 @@
     }
 
     /// Whether the ready tasks of a job take a large part of the workers of the cell.
-    fn is_wide(&self, job: &Job) -> bool {
+    pub(super) fn is_wide(&self, job: &Job) -> bool {
         let mut needed = 0;
         for task in job.tasks.iter().filter(|t| t.state == TaskState::Ready) {
             needed += u64::from(job.request.steps[task.step as usize].demand.cpu_milli);
@@ -240,6 +247,7 @@
         if !job.began {
             let waited = now.since(job.arrived);
             self.timings.note(&job.request.queue, Stage::Placed, waited);
+            self.note_share(job, true);
         }
         job.began = true;
         let s = &job.request.steps[step as usize];
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -4,6 +4,7 @@
 use super::CallerId;
 use super::Ended;
 use super::Scheduler;
+use super::contention::BACKLOG;
 use super::executor_view::ExecutorView;
 use super::jobs::Job;
 use super::jobs::TaskState;
@@ -91,7 +92,7 @@
     }
 
     /// A job out of a request, or why none can be taken.
-    fn new_job(&self, request: JobRequest, claim: bool) -> Result<Job, TurnedAway> {
+    fn new_job(&mut self, request: JobRequest, claim: bool) -> Result<Job, TurnedAway> {
         let turned = |request, cause| Err(TurnedAway { request, cause });
         let queue = self.catalog.index().and_then(|c| c.queue(&request.queue));
         let Some(queue) = queue else {
@@ -106,6 +107,10 @@
         if self.ends_too_late(&job) {
             return turned(job.request, LEAVING);
         }
+        if !claim && self.is_hopeless(&job) {
+            self.note_turned(&job);
+            return turned(job.request, BACKLOG);
+        }
         Ok(job)
     }
 
@@ -178,7 +183,7 @@
 
     /// A refusal with a time to come back that spreads the callers.
     pub(super) fn refusal(&mut self) -> JobOutcome {
-        JobOutcome::Refused(self.setup.policy.admission.come_back_ms(&mut self.rng))
+        JobOutcome::Refused(self.come_back_ms())
     }
 
     /// A caller has left. A job that nobody waits for is cancelled.
@@ -246,6 +251,7 @@
         let mut detail = format!("{number} {} {cause} after {took} ms", outcome.word());
         if matches!(outcome, JobOutcome::Refused(_) | JobOutcome::GivenUp) {
             detail.push_str(&self.room_in_words(&job));
+            self.note_turned(&job);
         }
         let kind = match outcome {
             JobOutcome::Completed => Kind::JobCompleted,
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -114,6 +114,9 @@
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
     Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
+    BacklogGrew = 460, Info, "work waits for room";
+    BacklogGone = 461, Info, "no work waits for room any more";
+    WorkAhead = 462, Info, "what was ahead of a job that is turned away";
 }
 
 /// One occurrence of an event.
