dispatch: one job at a time stands half placed under contention, too

Cause: a round that goes on behind a job that does not fit began several jobs with a part of their tasks; what such a job has used is lost if the rest finds no room in time.

Change: past a job that does not fit go only those that fit whole, and a job that begins with a part ends the round. Tests replay one scheduler: a load with the switch off gives the digest that the code before gave; urgent work at a peer, a cut link, a dead peer, an old backlog, a refusal at arrival, a job that may have run, the order of priorities.

--- a/lib/src/dispatch/contention/round.rs
+++ b/lib/src/dispatch/contention/round.rs
@@ -1,6 +1,7 @@
 //! Which jobs of a round of placing may take room.
 //!
-//! A job that does not fit doesn't end the round: smaller ones of its class go past it for as long as it has time.
+//! A job that does not fit doesn't end the round: those of its class that fit whole go past it for as long as it
+//! has time.
 //! After that the room that comes free is left to it. Less urgent jobs never go past a more urgent one, here or at a
 //! peer, unless there is room for both.
 
@@ -15,6 +16,8 @@
     pub owed: bool,
     /// The room that it must find to begin, in thousandths of a core.
     pub least: u64,
+    /// The room that all of it needs.
+    pub whole: u64,
     /// Until when others may go past it.
     pub patient_until: Mono,
 }
@@ -59,14 +62,16 @@
 
     /// Whether a job is tried. `elsewhere` is the room that more urgent work at peers needs.
     pub fn turn(&self, job: &Entrant, elsewhere: u64) -> Turn {
-        let beside = match self.blocked {
+        let (beside, least) = match self.blocked {
             Some(b) if self.now >= b.patient_until => return Turn::Yield,
-            Some(b) if job.class > b.class && !job.owed => b.least,
-            _ => 0,
+            Some(b) if job.class > b.class && !job.owed => (b.least, job.whole),
+            Some(_) => (0, job.whole),
+            None => (0, job.least),
         };
         let elsewhere = if job.owed { 0 } else { elsewhere };
         let taken = beside.saturating_add(elsewhere);
-        if taken > 0 && self.free < taken.saturating_add(job.least) {
+        let yields = taken > 0 || self.blocked.is_some();
+        if yields && self.free < taken.saturating_add(least) {
             return Turn::Yield;
         }
         Turn::Try
@@ -77,6 +82,12 @@
         self.free = self.free.saturating_sub(cpu_milli);
     }
 
+    /// A job began with only a part of its tasks. The room that comes free next is for the rest of it, so that at most
+    /// one job stands half placed: what it has used is lost if it is not finished.
+    pub fn begin_part(&mut self) {
+        self.misses = self.most_misses;
+    }
+
     /// A job did not fit.
     pub fn miss(&mut self, job: &Entrant) {
         self.misses += 1;
--- a/lib/src/dispatch/contention/tests.rs
+++ b/lib/src/dispatch/contention/tests.rs
@@ -133,6 +133,7 @@
         class,
         owed: false,
         least,
+        whole: least,
         patient_until: at(patient_until),
     }
 }
@@ -164,6 +165,23 @@
     assert_eq!(round.turn(&owed, 9000), Turn::Try);
 }
 
+#[test]
+fn test_round_lets_only_whole_jobs_past_one_that_does_not_fit() {
+    let mut round = Round::new(at(0), 10_000, 4);
+    let part = Entrant {
+        whole: 11_000,
+        ..entrant(3, 8000, 40)
+    };
+    assert_eq!(round.turn(&part, 0), Turn::Try);
+    round.miss(&entrant(3, 20_000, 40));
+    assert_eq!(round.turn(&part, 0), Turn::Yield);
+    round.begin_part();
+    assert!(
+        round.is_over(),
+        "no second job begins with a part of its tasks"
+    );
+}
+
 #[test]
 fn test_round_ends_after_some_misses() {
     let mut round = Round::new(at(0), 10_000, 2);
--- a/lib/src/dispatch/scheduler/contention.rs
+++ b/lib/src/dispatch/scheduler/contention.rs
@@ -143,7 +143,10 @@
         if let Some(entrant) = &entrant
             && !confined
         {
-            round.miss(entrant);
+            match after < before {
+                true => round.begin_part(),
+                false => round.miss(entrant),
+            }
         }
     }
 
@@ -160,6 +163,7 @@
             class,
             owed: class == OWED,
             least: self.least_room(job),
+            whole: job.ready_cpu(),
             patient_until: job.arrived + patience.mul_f64(policy.contention.pass_share),
         })
     }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -5,6 +5,7 @@
 mod catalogs;
 mod cells;
 mod claims;
+mod contention;
 mod crashes;
 mod evacuations;
 mod handing;
