--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -270,6 +270,7 @@
             return;
         };
         peer.link = None;
+        self.contention.forget(name);
         let unheard = self.now.since(peer.heard);
         let abrupt = unheard < self.setup.policy.claims.pause;
         if abrupt && !peer.leaving {
@@ -297,6 +298,7 @@
             peer.settled = update.settled;
             peer.roster_read = update.roster_read;
         }
+        self.hear_backlog(name, &update.backlog);
         for job in update.jobs {
             self.note_rival(JobNumber(job));
             self.announced.note(JobNumber(job), name, now);
@@ -417,6 +419,7 @@
         let settled = !leaving && !self.is_young() && version > 0;
         let roster_read = self.setup.policy.recovery.on && self.roster_sync.is_read();
         let silent = self.silent_executors();
+        let backlog = self.backlog_news();
         let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
         let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
@@ -443,6 +446,7 @@
             if peer.is_starting() {
                 update.silent.clone_from(&silent);
             }
+            update.backlog.clone_from(&backlog);
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
             self.actions.push(Action::Send(link, Box::new(body)));
