preemption: which runs are stopped for a more urgent task

Cause: an urgent job that finds the fleet full waits until runs of less urgent queues end by themselves, and is late or refused, though the configuration says that priority 0 may go before others.

Ruled out: stopping the least urgent runs first (a long run that has nearly ended would be lost for a short one); stopping runs that could not end in time elsewhere (one late job in place of another).

Change: a pure module chooses the set of runs that loses the fewest core-seconds, of less urgent queues only, each of which can still end in time if run anew; none if the set does not make room enough in time. What is lost a second and what is cleared at a time are bounded, and how often one task is stopped. The time until a stop is confirmed counts as lost, so that runs that have just begun are not free to stop.

Conclusion: nothing uses it yet; unit tests hold each bound by itself.

--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -17,6 +17,7 @@
 pub mod model;
 pub mod partition;
 pub mod policy;
+pub mod preemption;
 pub mod rank;
 pub mod scheduler;
 pub mod timings;
