executor: make room for an urgent task by stopping runs

Cause: only the executor knows its worker's room. Schedulers that each chose the runs to stop from their reports would together empty a worker.

Ruled out: stops ordered by the scheduler of the urgent task (it knows neither the runs of others nor what was stopped since the report); starting the urgent task when the stop is answered (the run may go on until the worker lists its end, and would share room that is not there).

Change: a task with `preempts` that finds no room has the chosen runs stopped by the machinery that exists and waits before the others; it starts when the worker's lists confirm the room. Runs that are being stopped count as room to come. Their schedulers are told `preempted`, with the checkpoint if there is one. Starts say how often a run may still be stopped (absent: never) and whether it saves its progress. Reports tell `preemptible_cpu_milli`; SC465 to SC467 and two counters tell an operator. With the switch off nothing is stopped, and what the queue does is as before: no task has the flag.

Tests: each failure halfway by itself (the asking entry dies, the stop is unanswered, the start is lost, the stopped run ends whole meanwhile), and several schedulers at once.

Conclusion: complete at the executor; schedulers do not ask yet.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -181,6 +181,8 @@
         ("strangers", counts.strangers),
         ("ends_passed", counts.ends_passed),
         ("heartbeats_rejected", counts.beats_rejected),
+        ("preempted", counts.preempted),
+        ("preempted_core_ms", counts.wasted),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "What the executor did.";
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -12,6 +12,7 @@
 mod health;
 mod lists;
 mod lives;
+mod preempting;
 mod reports;
 mod runs;
 mod sessions;
@@ -30,6 +31,7 @@
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Policy;
+use crate::dispatch::preemption::Budget;
 use crate::dispatch::timings::RunTimings;
 use crate::dispatch::zones::ZoneRecord;
 use crate::event::Event;
@@ -125,6 +127,10 @@
     pub ends_passed: u64,
     /// Heartbeats that could not be read, or were not of the worker's life.
     pub beats_rejected: u64,
+    /// Runs that were stopped for more urgent tasks.
+    pub preempted: u64,
+    /// The work of theirs that was thrown away, in thousandths of a core-second.
+    pub wasted: u64,
 }
 
 /// The worker's clock may be this much slow.
@@ -171,6 +177,8 @@
     /// Since when that may be out of date.
     leases_stale: Option<Mono>,
     health: Health,
+    /// What stops for more urgent tasks may still throw away.
+    budget: Budget,
     fence: u64,
     /// How far it is raised next.
     fence_step: u64,
@@ -217,6 +225,7 @@
             leased: Vec::new(),
             leases_stale: None,
             health: Health::new(setup.policy.health),
+            budget: Budget::default(),
             unclean_since: setup.started,
             kept_until: Mono::default(),
             vacant: false,
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -158,7 +158,7 @@
             pace_percent: self.health.pace_percent(),
             suspect: self.health.is_suspect(),
             slowness_percent: 0,
-            preemptible_cpu_milli: 0,
+            preemptible_cpu_milli: self.preemptible(now),
         }
     }
 
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -8,6 +8,7 @@
 use super::RunName;
 use super::StartCall;
 use super::StartRefusal;
+use super::preempting::RunRank;
 use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::EndKind;
@@ -68,13 +69,15 @@
     pub blame: u32,
     /// Whether all runs that share it are of the same job.
     pub sole: bool,
+    /// What decides whether it may be stopped for another task.
+    pub rank: RunRank,
     spec: Rc<str>,
     checkpoint: String,
 }
 
 impl Run {
     /// Whether it ends within a span, by its progress.
-    fn ends_within(&self, now: Mono, span: Duration) -> bool {
+    pub(super) fn ends_within(&self, now: Mono, span: Duration) -> bool {
         if self.percent == 0 {
             return false;
         }
@@ -123,12 +126,17 @@
     pub checkpoint: String,
     /// What is known of it from workers that crashed.
     pub crashes: CrashRecord,
+    /// Whether runs may be stopped to make room for it.
+    pub preempts: bool,
+    /// What decides whether its run may be stopped for another task.
+    pub rank: RunRank,
 }
 
 impl Executor {
-    /// Queues a task, soonest start first.
+    /// Queues a task, soonest start first. One for which runs are stopped goes before the others.
     pub(super) fn enqueue(&mut self, waiting: Waiting) {
-        let later = |w: &Waiting| w.latest > waiting.latest;
+        let order = |w: &Waiting| (!w.preempts, w.latest);
+        let later = |w: &Waiting| order(w) > order(&waiting);
         let at = self.queue.iter().position(later);
         self.queue.insert(at.unwrap_or(self.queue.len()), waiting);
     }
@@ -166,7 +174,7 @@
         wanted.fits(freed.fold(self.used, less), self.capacity())
     }
 
-    fn spread_allows(&self, waiting: &Waiting) -> bool {
+    pub(super) fn spread_allows(&self, waiting: &Waiting) -> bool {
         if waiting.spread == 0 {
             return true;
         }
@@ -193,6 +201,7 @@
             crashed: false,
             blame: 0,
             sole: false,
+            rank: waiting.rank,
             spec: waiting.spec,
             checkpoint: waiting.checkpoint,
         };
@@ -387,6 +396,7 @@
         };
         self.used = less(self.used, run.demand);
         self.timings.note(kind.word(), now.since(run.began));
+        self.note_preempted(now, &run, kind);
         match kind {
             EndKind::Done => self.counts.done += 1,
             EndKind::Failed => self.counts.failed += 1,
@@ -403,7 +413,7 @@
 /// Run numbers tried above the attempt before a start is given up.
 const MAX_RENUMBER: u32 = 16;
 
-fn less(used: Demand, demand: Demand) -> Demand {
+pub(super) fn less(used: Demand, demand: Demand) -> Demand {
     Demand {
         cpu_milli: used.cpu_milli.saturating_sub(demand.cpu_milli),
         memory_mb: used.memory_mb.saturating_sub(demand.memory_mb),
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -1,10 +1,12 @@
 //! Sessions with schedulers: leases, orders taken in, ends kept for them. What they are told stands in `reports`.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use super::Action;
 use super::Executor;
+use super::preempting::RunRank;
 use super::runs::Run;
 use super::runs::Waiting;
 use crate::dispatch::crashes::CrashRecord;
@@ -194,6 +196,13 @@
                 spec: spec.clone(),
                 checkpoint: task.checkpoint,
                 crashes: CrashRecord::from_proto(task.crashes),
+                preempts: start.preempts && self.setup.policy.preemption.on,
+                rank: RunRank {
+                    priority: start.priority,
+                    stops: task.stops,
+                    saves: start.saves_progress,
+                    latest: now + Duration::from_millis(u64::from(start.slack_ms)),
+                },
             };
             self.recall_crashes(&mut waiting);
             self.take_task(now, waiting, fresh);
@@ -216,7 +225,7 @@
         if self.health.is_suspect() && !self.health.may_try(now) {
             return self.tell_unstarted(now, &waiting, EndKind::Unavailable);
         }
-        if !self.has_room_soon(now, waiting.demand) {
+        if !self.has_room_soon(now, waiting.demand) && !self.make_room(now, &waiting) {
             return self.tell_unstarted(now, &waiting, EndKind::NoRoom);
         }
         self.enqueue(waiting);
@@ -231,8 +240,12 @@
 
     /// Hands back tasks whose time has passed.
     pub(super) fn expire_waiting(&mut self, now: Mono) {
-        while self.queue.front().is_some_and(|w| w.latest <= now) {
-            let waiting = self.queue.pop_front().expect("it is there");
+        let (expired, queue) = std::mem::take(&mut self.queue)
+            .into_iter()
+            .partition(|w| w.latest <= now);
+        self.queue = queue;
+        let expired: VecDeque<Waiting> = expired;
+        for waiting in expired {
             self.tell_unstarted(now, &waiting, EndKind::Expired);
         }
     }
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -229,6 +229,7 @@
                     attempt: task.attempts,
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.crashes.proto(),
+                    stops: 0,
                 });
             }
         }
@@ -259,6 +260,7 @@
             priority: job.priority,
             spread: s.spread,
             preempts: false,
+            saves_progress: s.saves_progress,
         };
         let executor = &mut self.executors[key];
         let detail = format!(
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -114,6 +114,9 @@
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
     Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
+    RunsPreempted = 465, Info, "runs are stopped to make room for a more urgent task";
+    RoomKept = 466, Info, "an urgent task finds no room, and no runs may be stopped for it";
+    RoomTaken = 467, Info, "an urgent job that finds no room is placed where runs may be stopped for it";
 }
 
 /// One occurrence of an event.
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -84,6 +84,9 @@
     /// The receiver may stop runs of less urgent queues to make room for these tasks.
     #[prost(bool, tag = "11")]
     pub preempts: bool,
+    /// Whether a run that is stopped leaves a checkpoint.
+    #[prost(bool, tag = "12")]
+    pub saves_progress: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskStart {
@@ -98,6 +101,9 @@
     /// Absent if nothing is known.
     #[prost(message, optional, tag = "4")]
     pub crashes: ::core::option::Option<CrashRecord>,
+    /// How often its run may still be stopped for more urgent tasks.
+    #[prost(uint32, tag = "5")]
+    pub stops: u32,
 }
 /// What is known of a task from workers that crashed while it ran there.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod evacuation;
 mod lives;
+mod preempting;
 mod recall;
 mod restarts;
 mod slow;
@@ -57,6 +58,10 @@
     }
 
     fn new() -> Bench {
+        Bench::with_policy(Policy::default())
+    }
+
+    fn with_policy(policy: Policy) -> Bench {
         let setup = ExecutorSetup {
             name: "e".to_owned(),
             zone: "z".to_owned(),
@@ -66,7 +71,7 @@
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
             heartbeat: Duration::from_millis(1500),
-            policy: Policy::default(),
+            policy,
         };
         Bench {
             executor: Executor::new(setup),
@@ -226,7 +231,7 @@
     }
 }
 
-fn run(job: u64, index: u32, run: u32) -> RunName {
+const fn run(job: u64, index: u32, run: u32) -> RunName {
     RunName {
         task: TaskName {
             job: JobNumber(job),
