scheduler: place urgent jobs where runs may be stopped for them

Cause: a job of priority 0 that found no room waited behind runs of less urgent queues until its objective had passed.

Ruled out: asking at once (room that becomes free within some milliseconds costs nobody anything); asking with each report (a request that was turned down would be repeated each few milliseconds, so a job asks again only after the time of a stop).

Change: once it has waited for `wait_ms`, the tasks of such a job that find no room go to the executors with the most room that may be cleared, with `preempts` set, if they still end in time after a stop. A task that was stopped is placed again among those that have begun; it does not count as failed, and is not stopped more often than `stops`. One whose next failure would end its job is never stopped.

Conclusion: with the switch off no start has the flag or may be stopped.

--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -23,6 +23,7 @@
 mod pace;
 mod peers;
 mod placing;
+mod preempting;
 mod submit;
 
 use std::collections::BTreeMap;
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -178,11 +178,8 @@
                 }
             }
             EndKind::Stalled | EndKind::Lost => task.avoid = Some(key),
-            EndKind::Done
-            | EndKind::Stopped
-            | EndKind::Expired
-            | EndKind::NoRoom
-            | EndKind::Preempted => {}
+            EndKind::Preempted => task.preempted += 1,
+            EndKind::Done | EndKind::Stopped | EndKind::Expired | EndKind::NoRoom => {}
         }
         self.queue_job(number);
     }
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -41,6 +41,8 @@
     pub avoid: Option<ExecutorKey>,
     /// Whether its run was stopped because it went slowly. That is done once.
     pub moved: bool,
+    /// How often its run was stopped for a more urgent task.
+    pub preempted: u32,
 }
 
 /// Whether a job may be placed.
@@ -86,6 +88,8 @@
     pub sure_start: Mono,
     /// When it is of no use to anybody any more.
     pub useless_at: Mono,
+    /// When it was last placed where runs are stopped for it.
+    pub preempted_at: Option<Mono>,
     /// Its place among the jobs that wait, if it does.
     pub place: Option<(u8, Mono)>,
     /// The expected time of a task of each step at a worker of ordinary pace.
@@ -140,6 +144,7 @@
             objective_at: now + objective.saturating_sub(policy.travel),
             sure_start: now + sure.saturating_sub(policy.travel),
             useless_at,
+            preempted_at: None,
             place: None,
             expected,
             chain,
@@ -225,6 +230,7 @@
                 crashes: CrashRecord::default(),
                 avoid: None,
                 moved: false,
+                preempted: 0,
             });
         }
     }
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -28,11 +28,13 @@
 
 /// A task and where it goes.
 #[derive(Clone, Copy, Debug)]
-struct Placing {
-    task: usize,
-    step: u32,
-    key: ExecutorKey,
-    trial: bool,
+pub(super) struct Placing {
+    pub task: usize,
+    pub step: u32,
+    pub key: ExecutorKey,
+    pub trial: bool,
+    /// Whether runs may be stopped for it there.
+    pub preempts: bool,
 }
 
 impl Scheduler {
@@ -141,6 +143,7 @@
         for step in 0..job.request.steps.len() as u32 {
             self.plan_step(job, step, &mut free, &mut plan);
         }
+        self.plan_preempting(job, &mut plan);
         plan
     }
 
@@ -175,6 +178,7 @@
                     step,
                     key,
                     trial,
+                    preempts: false,
                 });
                 free[key] = free[key].less(demand);
                 next += 1;
@@ -204,13 +208,16 @@
                 used.push(at);
             }
         }
+        self.note_preempting(job, plan);
         for (step, key) in used {
-            self.send_starts(job, step, key);
+            let here = |p: &&Placing| p.step == step && p.key == key;
+            let preempts = plan.iter().filter(here).any(|p| p.preempts);
+            self.send_starts(job, step, key, preempts);
         }
     }
 
     /// Gathers the starts of tasks that were just placed at an executor.
-    fn send_starts(&mut self, job: &mut Job, step: u32, key: ExecutorKey) {
+    fn send_starts(&mut self, job: &mut Job, step: u32, key: ExecutorKey, preempts: bool) {
         let now = self.now;
         let executor = &mut self.executors[key];
         let mut starts = Vec::new();
@@ -229,7 +236,7 @@
                     attempt: task.attempts,
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.crashes.proto(),
-                    stops: 0,
+                    stops: job.stops_left(task, &self.setup.policy.preemption),
                 });
             }
         }
@@ -259,7 +266,7 @@
             estimate_ms: crate::clock::millis(job.expected[step as usize]) as u32,
             priority: job.priority,
             spread: s.spread,
-            preempts: false,
+            preempts,
             saves_progress: s.saves_progress,
         };
         let executor = &mut self.executors[key];
@@ -368,7 +375,7 @@
 }
 
 /// Whether a worker has what a step requires.
-fn suits(
+pub(super) fn suits(
     executor: &super::executor_view::ExecutorView,
     step: &crate::dispatch::model::Step,
 ) -> bool {
@@ -378,7 +385,7 @@
 }
 
 /// How many tasks of a step are placed at an executor.
-fn count_at(job: &Job, step: u32, key: ExecutorKey) -> usize {
+pub(super) fn count_at(job: &Job, step: u32, key: ExecutorKey) -> usize {
     let here = |t: &&super::jobs::Task| t.step == step && t.state == TaskState::Placed(key);
     job.tasks.iter().filter(here).count()
 }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod evacuations;
 mod handing;
+mod preempting;
 mod slow;
 
 use std::rc::Rc;
