testutils: random runs with preemption

Cause: what must always hold (no task runs twice at once, a worker is not filled beyond its room, a refusal is true) was not played while runs are stopped for others.

It prints how many runs were stopped. Without the flag nothing more is drawn, so seeds give what they gave.

--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -64,6 +64,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also ask executors to leave, and start them again"),
         )
+        .arg(
+            Arg::new("preempting")
+                .long("preempting")
+                .action(ArgAction::SetTrue)
+                .help("Let urgent jobs stop the runs of others; jobs are of three priorities"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -95,6 +101,7 @@
     let mut broken = 0;
     let mut steps = 0;
     let mut starts = 0;
+    let mut preempted = 0;
     for seed in value("from")..value("from") + value("seeds") {
         let report = run::run_plan(RunPlan {
             seed,
@@ -107,16 +114,21 @@
             leaving: matches.get_flag("leaving"),
             departing: matches.get_flag("departing"),
             reborn: matches.get_flag("reborn"),
+            preempting: matches.get_flag("preempting"),
             suspensions,
             trace,
         });
         steps += report.steps;
         starts += report.starts;
+        preempted += report.preempted;
         if report.violation.is_some() || report.recovered < run::RECOVERED {
             broken += 1;
             println!("seed {seed}: {report:?}");
         }
     }
+    if preempted > 0 {
+        println!("{preempted} runs stopped for more urgent tasks");
+    }
     println!("{steps} steps, {starts} starts, {broken} seeds with a broken promise");
     if broken == 0 {
         ExitCode::SUCCESS
--- a/lib/testutils/src/dispatch/callers.rs
+++ b/lib/testutils/src/dispatch/callers.rs
@@ -81,6 +81,20 @@
     }
 }
 
+/// The same with queues of three priorities.
+pub fn ranked_catalog(version: u64) -> Catalog {
+    let plain = catalog(version);
+    let ranked = |priority: u32| Queue {
+        name: format!("{SERVICE}-{priority}"),
+        priority,
+        ..plain.queues[0].clone()
+    };
+    Catalog {
+        queues: (0..3).map(ranked).collect(),
+        ..plain
+    }
+}
+
 impl Default for Callers {
     fn default() -> Callers {
         Callers::with_catalog(catalog(1))
@@ -129,9 +143,15 @@
             estimate_ms: work_ms * rng.random_range(60..140) / 100,
             ..Step::default()
         };
+        let queues = &self.catalog.queues;
+        // Nothing is drawn where there is no choice, so that the seeds of such runs give what they gave.
+        let queue = match queues.len() {
+            1 => 0,
+            count => rng.random_range(0..count),
+        };
         let request = JobRequest {
             number,
-            queue: SERVICE.to_owned(),
+            queue: queues[queue].name.clone(),
             spec: Rc::from("work"),
             steps: vec![step],
             patience_ms: rng.random_range(2000..5000),
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -5,7 +5,7 @@
 use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_lib::prelude::Duration;
 
-use crate::dispatch::callers::Callers;
+use crate::dispatch::callers;
 use crate::dispatch::network::Node;
 use crate::dispatch::world::CAPACITY;
 use crate::dispatch::world::World;
@@ -23,6 +23,8 @@
     pub refused: u64,
     /// Jobs that ended otherwise.
     pub others: u64,
+    /// Runs that executors, in their last lives, have stopped for more urgent tasks.
+    pub preempted: u64,
     /// The first promise that was broken.
     pub violation: Option<String>,
     /// Jobs complete of those handed in after all faults had ended, in percent.
@@ -49,6 +51,10 @@
 const DEPARTURES: f64 = 0.03;
 /// How likely a suspension is at each step.
 const SUSPENSIONS: f64 = 0.02;
+/// How likely many jobs come at once, where some are urgent, at each step.
+const BURSTS: f64 = 0.05;
+/// How many they are.
+const BURST_JOBS: u32 = 12;
 /// Jobs handed in while it is calm again.
 const CALM_JOBS: u64 = 60;
 
@@ -87,6 +93,8 @@
     pub departing: bool,
     /// Whether workers that have crashed come up under the id that they had.
     pub reborn: bool,
+    /// Whether jobs are of several priorities, and urgent ones may stop the runs of others.
+    pub preempting: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -105,11 +113,15 @@
 /// Runs a plan.
 pub fn run_plan(plan: RunPlan) -> RunReport {
     let zones = if plan.evacuating { ZONES } else { 1 };
+    let catalog = match plan.preempting {
+        true => callers::ranked_catalog(1),
+        false => callers::catalog(1),
+    };
     let mut world = World::with_zones(
         plan.seed,
         (SCHEDULERS, EXECUTORS, zones),
-        Callers::default().catalog,
-        policy(plan.cell),
+        catalog,
+        policy(&plan),
     );
     world.trace = plan.trace;
     if plan.reborn {
@@ -123,6 +135,9 @@
         let pause = world.rng.random_range(1..90);
         world.run(Duration::from_millis(pause));
         let number = hand_in(&mut world);
+        if plan.preempting && world.rng.random_bool(BURSTS) {
+            burst(&mut world);
+        }
         if plan.crashing && world.rng.random_bool(CRASHING) {
             make_crashing(&mut world, number);
         }
@@ -169,16 +184,18 @@
         completed: world.witness.completed,
         refused: world.witness.refused,
         others: world.witness.others,
+        preempted: world.preempted(),
         violation: world.witness.violation.clone(),
         recovered: (world.witness.completed - before) * 100 / CALM_JOBS,
     }
 }
 
-/// The policy under which a scheduler places tasks at `cell` executors, and at one more when they are full.
-fn policy(cell: u32) -> Policy {
+/// The policy of a plan. In cells a scheduler places tasks at one executor more when its own are full.
+fn policy(plan: &RunPlan) -> Policy {
     let mut policy = Policy::default();
-    if cell > 0 {
-        policy.cells.size = cell;
+    policy.preemption.on = plan.preempting;
+    if plan.cell > 0 {
+        policy.cells.size = plan.cell;
         policy.cells.lent = 1;
         policy.cells.cover = 1;
     }
@@ -239,6 +256,13 @@
     number
 }
 
+/// Hands in many jobs at once, so that urgent ones find all workers full.
+fn burst(world: &mut World) {
+    for _ in 0..BURST_JOBS {
+        hand_in(world);
+    }
+}
+
 fn any_node(world: &mut World) -> Node {
     let (schedulers, executors) = world.size();
     if world.rng.random_bool(0.5) {
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -546,6 +546,12 @@
         *skew = skew.saturating_sub(span);
     }
 
+    /// Runs that the executors, in their present lives, have stopped for more urgent tasks.
+    pub fn preempted(&self) -> u64 {
+        let counts = self.executors.iter().map(|n| n.executor.counts());
+        counts.map(|c| c.preempted).sum()
+    }
+
     /// How many schedulers and executors there are.
     pub fn size(&self) -> (usize, usize) {
         (self.schedulers.len(), self.executors.len())
