--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -24,6 +24,7 @@
 mod pace;
 mod peers;
 mod placing;
+mod preempting;
 mod roster;
 mod silent;
 mod submit;
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -117,6 +117,9 @@
     BacklogGrew = 460, Info, "work waits for room";
     BacklogGone = 461, Info, "no work waits for room any more";
     WorkAhead = 462, Info, "what was ahead of a job that is turned away";
+    RunsPreempted = 465, Info, "runs are stopped to make room for a more urgent task";
+    RoomKept = 466, Info, "an urgent task finds no room, and no runs may be stopped for it";
+    RoomTaken = 467, Info, "an urgent job that finds no room is placed where runs may be stopped for it";
     RosterFromPeer = 480, Info, "a peer has read the names of the executors, as the store did not tell them here";
     ExecutorAccounted = 481, Info, "an executor is silent; jobs of this process do not wait for it, as it is known for whom it runs tasks";
     ClaimsSettle = 482, Info, "this process has met all others since its start; jobs that were claimed begin";
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod evacuation;
 mod lives;
+mod preempting;
 mod recall;
 mod restarts;
 mod slow;
@@ -231,7 +232,7 @@
     }
 }
 
-fn run(job: u64, index: u32, run: u32) -> RunName {
+const fn run(job: u64, index: u32, run: u32) -> RunName {
     RunName {
         task: TaskName {
             job: JobNumber(job),
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod evacuations;
 mod handing;
+mod preempting;
 mod returning;
 mod slow;
 
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -70,6 +70,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Let schedulers that have just started serve early, while the store turns some away"),
         )
+        .arg(
+            Arg::new("preempting")
+                .long("preempting")
+                .action(ArgAction::SetTrue)
+                .help("Let urgent jobs stop the runs of others; jobs are of three priorities"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -101,6 +107,7 @@
     let mut broken = 0;
     let mut steps = 0;
     let mut starts = 0;
+    let mut preempted = 0;
     for seed in value("from")..value("from") + value("seeds") {
         let report = run::run_plan(RunPlan {
             seed,
@@ -114,16 +121,21 @@
             departing: matches.get_flag("departing"),
             recovering: matches.get_flag("recovering"),
             reborn: matches.get_flag("reborn"),
+            preempting: matches.get_flag("preempting"),
             suspensions,
             trace,
         });
         steps += report.steps;
         starts += report.starts;
+        preempted += report.preempted;
         if report.violation.is_some() || report.recovered < run::RECOVERED {
             broken += 1;
             println!("seed {seed}: {report:?}");
         }
     }
+    if preempted > 0 {
+        println!("{preempted} runs stopped for more urgent tasks");
+    }
     println!("{steps} steps, {starts} starts, {broken} seeds with a broken promise");
     if broken == 0 {
         ExitCode::SUCCESS
