daemon: an entry knows how much of its processor time it uses

Cause: an entry short of processor time must not be handed jobs, and nobody could tell which one is.

Metrics also count jobs handed on and taken.

Ruled out: the lateness of the event loop as a measure.

Conclusion: where settings lack the field nothing is told, and nobody is passed by for it.

--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -14,6 +14,7 @@
 pub mod links;
 pub mod log_sink;
 pub mod metrics_page;
+pub mod processor;
 pub mod recall;
 pub mod scheduler_host;
 pub mod store;
--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -126,15 +126,20 @@
         ("joined", counts.joined),
         ("claimed", counts.claims),
         ("placed", counts.placed),
+        ("handed", counts.handed),
+        ("taken_handed", counts.taken),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "Decisions made.";
     page.counters("decisions_total", help, "kind", decisions.into_iter());
     let [jobs, waiting, executors, peers] = scheduler.load().map(|n| n as i64);
     let cell = scheduler.cell();
+    let (busy, waiting_cpu) = scheduler.own_load();
     let held = [
         ("jobs", jobs),
         ("jobs_waiting", waiting),
+        ("waiting_milli_cores", waiting_cpu as i64),
+        ("busy_percent", i64::from(busy)),
         ("executors_linked", executors),
         ("executors_in_cell", cell[0] as i64),
         ("executors_lent", cell[1] as i64),
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -42,6 +42,7 @@
 use crate::dispatch::links::Links;
 use crate::dispatch::log_sink::LogSink;
 use crate::dispatch::metrics_page::ProcessGauges;
+use crate::dispatch::processor::ProcessorUse;
 use crate::dispatch::traffic::Traffic;
 
 /// Time passes for the scheduler in steps of this.
@@ -64,6 +65,7 @@
     own: SocketAddr,
     links: Links,
     lag: LoopLag,
+    processor: ProcessorUse,
     callers: RefCell<HashMap<CallerId, oneshot::Sender<JobOutcome>>>,
     next_caller: Cell<u64>,
     log: RefCell<LogSink>,
@@ -117,7 +119,7 @@
 
 impl SchedulerHost {
     /// Starts a scheduler that listens at `listen` and is reached by others at `own`. `seeds` are asked who there is
-    /// while the store does not answer.
+    /// while the store does not answer. `cores` is what the process may use of the processors, if that is known.
     ///
     /// # Errors
     ///
@@ -127,6 +129,7 @@
         seeds: Vec<SocketAddr>,
         listen: SocketAddr,
         own: SocketAddr,
+        cores: Option<f64>,
         log: LogSink,
     ) -> std::io::Result<SchedulerHost> {
         let listener = channel::listen(listen)?;
@@ -140,6 +143,7 @@
             own,
             links: Links::default(),
             lag: LoopLag::default(),
+            processor: ProcessorUse::new(cores),
             callers: RefCell::default(),
             next_caller: Cell::new(1),
             log: RefCell::new(log),
@@ -164,6 +168,10 @@
                 if let Some(late) = ticking.inner.lag.sleep(TICK).await {
                     ticking.log(Kind::LoopLate, format!("{} ms", late.as_millis()));
                 }
+                let elapsed = ticking.inner.clock.elapsed();
+                if let Some(percent) = ticking.inner.processor.read(elapsed) {
+                    ticking.with(|s, now| s.set_busy(now, percent));
+                }
                 ticking.with(|s, now| s.tick(now));
             }
         });
--- a/lib/daemon/tests/runner/test_sight.rs
+++ b/lib/daemon/tests/runner/test_sight.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use stackcourse_daemon::dispatch::lag::LoopLag;
+use stackcourse_daemon::dispatch::processor::ProcessorUse;
+use stackcourse_daemon::dispatch::processor::share_percent;
 use stackcourse_daemon::dispatch::traffic::Traffic;
 use stackcourse_lib::protos::dispatch as proto;
 use stackcourse_lib::protos::dispatch::frame::Body;
@@ -49,3 +51,20 @@
     assert_eq!(of("orders", traffic.sent().collect()), 2);
     assert_eq!(of("peer", traffic.received().collect()), 1);
 }
+
+#[test]
+fn test_processor_use_is_a_share_of_what_the_process_may_use() {
+    assert_eq!(share_percent(millis(60), millis(1000), 0.12), Some(50));
+    assert_eq!(share_percent(millis(500), millis(1000), 0.5), Some(100));
+    assert_eq!(share_percent(millis(1), millis(0), 0.5), None);
+}
+
+#[test]
+fn test_processor_use_is_read_once_a_second_where_the_share_is_known() {
+    let known = ProcessorUse::new(Some(1000.0));
+    assert_eq!(known.read(millis(999)), None);
+    assert!(known.read(millis(1000)).is_some());
+    assert_eq!(known.read(millis(1999)), None);
+    assert!(known.read(millis(2000)).is_some());
+    assert_eq!(ProcessorUse::new(None).read(millis(5000)), None);
+}
