--- a/lib/src/dispatch/scheduler/contention.rs
+++ b/lib/src/dispatch/scheduler/contention.rs
@@ -304,7 +304,7 @@
 
     /// What peers are told of what waits here.
     pub(super) fn backlog_news(&mut self) -> Vec<proto::Backlog> {
-        if !self.contends() {
+        if !self.contends() && !self.setup.policy.balance.on {
             return Vec::new();
         }
         if self.now.since(self.contention.summed) >= SUM_GAP {
@@ -426,7 +426,7 @@
     }
 
     /// The room that its tasks need which are to be placed, in thousandths of a core.
-    fn ready_cpu(&self) -> u64 {
+    pub(super) fn ready_cpu(&self) -> u64 {
         self.ready().map(|(d, _)| u64::from(d.cpu_milli)).sum()
     }
 
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -72,6 +72,7 @@
             && out.handed.is_empty()
             && out.roster.is_empty()
             && !out.roster_wanted
+            && out.unfollow.is_empty()
             && !out.catalog_wanted)
     }
 
@@ -271,6 +272,7 @@
         };
         peer.link = None;
         self.contention.forget(name);
+        self.loads.forget(name);
         let unheard = self.now.since(peer.heard);
         let abrupt = unheard < self.setup.policy.claims.pause;
         if abrupt && !peer.leaving {
@@ -299,6 +301,7 @@
             peer.roster_read = update.roster_read;
         }
         self.hear_backlog(name, &update.backlog);
+        self.hear_load(name, &update);
         for job in update.jobs {
             self.note_rival(JobNumber(job));
             self.announced.note(JobNumber(job), name, now);
@@ -316,6 +319,9 @@
         for job in update.cancel {
             self.cancel(now, JobNumber(job));
         }
+        for job in update.unfollow {
+            self.hear_unfollow(name, JobNumber(job));
+        }
         if !update.members.is_empty() {
             self.add_members(now, update.members);
         }
@@ -420,6 +426,7 @@
         let roster_read = self.setup.policy.recovery.on && self.roster_sync.is_read();
         let silent = self.silent_executors();
         let backlog = self.backlog_news();
+        let busy = self.busy_news();
         let linked = self.peers.values().filter(|p| p.link.is_some()).count() as u32;
         let news_gap = reports.news_gap.max(reports.news_each * linked);
         for peer in self.peers.values_mut() {
@@ -447,6 +454,7 @@
                 update.silent.clone_from(&silent);
             }
             update.backlog.clone_from(&backlog);
+            update.busy_percent = busy;
             peer.last_sent = now;
             let body = proto::frame::Body::Peer(update);
             self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -120,6 +120,9 @@
     RunsPreempted = 465, Info, "runs are stopped to make room for a more urgent task";
     RoomKept = 466, Info, "an urgent task finds no room, and no runs may be stopped for it";
     RoomTaken = 467, Info, "an urgent job that finds no room is placed where runs may be stopped for it";
+    JobEvenedOut = 475, Info, "more waits here than at others; a peer runs a job";
+    EntryBusy = 476, Warn, "this entry is short of processor time; it is handed no jobs";
+    EntryRelieved = 477, Info, "this entry is not short of processor time any more";
     RosterFromPeer = 480, Info, "a peer has read the names of the executors, as the store did not tell them here";
     ExecutorAccounted = 481, Info, "an executor is silent; jobs of this process do not wait for it, as it is known for whom it runs tasks";
     ClaimsSettle = 482, Info, "this process has met all others since its start; jobs that were claimed begin";
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -424,6 +424,9 @@
     /// The id that the caller has given the call.
     #[prost(string, tag = "6")]
     pub call: ::prost::alloc::string::String,
+    /// How long ago it came to the sender, in milliseconds. The other times count from then on.
+    #[prost(uint32, tag = "7")]
+    pub waited_ms: u32,
 }
 /// See `Step` in the library.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -510,6 +513,9 @@
     /// The store has told the sender the names of the executors.
     #[prost(bool, tag = "21")]
     pub roster_read: bool,
+    /// Jobs handed to the receiver for which nobody waits at the sender any more.
+    #[prost(fixed64, repeated, tag = "22")]
+    pub unfollow: ::prost::alloc::vec::Vec<u64>,
 }
 /// An executor that was heard in its present incarnation and is silent.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
