testutils: speeds of the model's workers, and data in one rack, can be given

The model's workers had three speeds that stood in a constant, and no data lay anywhere. Placing by speed and distance could not be compared on it.

A digest of all answers with their times tells runs apart. Ruled out: a model of its own for uneven workers.

--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -16,6 +16,7 @@
 use stackcourse_testutils::dispatch::load::LoadPlan;
 use stackcourse_testutils::dispatch::load::LoadReport;
 use stackcourse_testutils::dispatch::load::Trouble;
+use stackcourse_testutils::dispatch::load::Uneven;
 
 /// From this share of the work done in time on, a window is well.
 const WELL: f64 = 0.9;
@@ -45,6 +46,9 @@
     let queues = "Queues of a configuration that is accepted each second of the middle half";
     let crashing = "Jobs of a thousand in the middle half with a task that takes workers down";
     let crashing_kind = "The kind of those jobs, from 1, as they are printed; 0 for all";
+    let wanted =
+        "Jobs of a hundred of the first kind whose data lies in one rack, a sixth of the workers";
+    let remote = "How long a task takes outside of its data's rack, in percent";
     let restarts = "Executors that are restarted in the middle half, one each 200 ms";
     Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
@@ -66,6 +70,14 @@
         .arg(number("restarts", "0", restarts))
         .arg(number("crashing", "0", crashing))
         .arg(number("crashing-kind", "0", crashing_kind))
+        .arg(
+            Arg::new("speeds")
+                .long("speeds")
+                .default_value("0.8,1.0,1.25")
+                .help("Speeds of the workers, in turn; eight at most"),
+        )
+        .arg(number("wanted", "0", wanted))
+        .arg(number("remote", "100", remote))
         .arg(
             Arg::new("set")
                 .long("set")
@@ -110,6 +122,15 @@
     }
 }
 
+fn uneven(matches: &ArgMatches) -> Uneven {
+    let list = matches.get_one::<String>("speeds").expect("a default");
+    let speeds: Vec<f64> = list.split(',').filter_map(|s| s.parse().ok()).collect();
+    let mut uneven = Uneven::of(&speeds);
+    uneven.wanted = value(matches, "wanted") as f64 / 100.0;
+    uneven.remote = value(matches, "remote") as f64 / 100.0;
+    uneven
+}
+
 fn plans(matches: &ArgMatches, load: f64, policy: Policy) -> impl Iterator<Item = LoadPlan> {
     let first = value(matches, "seed");
     let plan = LoadPlan {
@@ -120,6 +141,7 @@
         workers: value(matches, "workers") as usize,
         late: value(matches, "late") as f64 / 100.0,
         slow: value(matches, "slow") as usize,
+        uneven: uneven(matches),
         trouble: Trouble {
             link_mbit: value(matches, "mbit"),
             queues: value(matches, "queues") as usize,
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -68,7 +68,10 @@
 const EXTENSION: f64 = 1.6;
 const OBJECTIVE_MS: u32 = 60;
 const MEAN_CPU: f64 = 1600.0;
-const SPEEDS: [f64; 3] = [0.8, 1.0, 1.25];
+/// The most speeds that a plan names.
+const MOST_SPEEDS: usize = 8;
+/// The rack that a plan's jobs may want, and every so many workers there is one in it.
+const RACK: (&str, usize) = ("rack-0", 6);
 /// How many times as long a slow worker takes.
 pub const SLOW_PACE: f64 = 5.0;
 const SIZES: [u32; 3] = [16_000, 16_000, 24_000];
@@ -92,10 +95,48 @@
     pub slow: usize,
     /// What goes wrong in the middle half of the span, beside slow workers.
     pub trouble: Trouble,
+    /// How the workers differ.
+    pub uneven: Uneven,
     /// The figures that decide.
     pub policy: Policy,
 }
 
+/// How workers differ: in speed, and in how far they are from data.
+#[derive(Clone, Copy, Debug)]
+pub struct Uneven {
+    speeds: [f64; MOST_SPEEDS],
+    count: usize,
+    /// The share of jobs of the widest kind whose data lies in one rack.
+    pub wanted: f64,
+    /// How many times as long a task takes outside of its data's rack.
+    pub remote: f64,
+}
+
+impl Default for Uneven {
+    fn default() -> Uneven {
+        Uneven::of(&[0.8, 1.0, 1.25])
+    }
+}
+
+impl Uneven {
+    /// Workers of these speeds in turn, up to eight, none of them far from data.
+    pub fn of(list: &[f64]) -> Uneven {
+        let count = list.len().min(MOST_SPEEDS);
+        let mut speeds = [1.0; MOST_SPEEDS];
+        speeds[..count].copy_from_slice(&list[..count]);
+        Uneven {
+            speeds,
+            count: count.max(1),
+            wanted: 0.0,
+            remote: 1.0,
+        }
+    }
+
+    fn speed(&self, worker: usize) -> f64 {
+        self.speeds[worker % self.count]
+    }
+}
+
 /// Trouble of a run; none by default.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Trouble {
@@ -150,6 +191,8 @@
     pub crashes: u64,
     /// Jobs that were given up for such a task, and that would have run whole.
     pub misjudged: u64,
+    /// Tells runs apart of which one answer came at another time, or was another one.
+    pub digest: u64,
     /// The promise that was broken, if any.
     pub violation: Option<String>,
 }
@@ -228,12 +271,16 @@
     set_links(&mut world, &plan);
     for number in 0..plan.workers {
         world.workers[number].capacity = SIZES[number % 3];
+        if plan.uneven.wanted > 0.0 && number % RACK.1 == 0 {
+            world.workers[number].rack = RACK.0.to_owned();
+        }
     }
+    world.remote = plan.uneven.remote;
     set_paces(&mut world, &plan, false);
     world.run(Duration::from_secs(4));
     world.late = plan.late;
     let mean: f64 = KINDS.iter().map(mean_work).sum::<f64>() / 100.0;
-    let room = |n: usize| f64::from(SIZES[n % 3]) / 1000.0 * SPEEDS[n % 3];
+    let room = |n: usize| f64::from(SIZES[n % 3]) / 1000.0 * plan.uneven.speed(n);
     let capacity: f64 = (0..plan.workers).map(room).sum();
     let per_s = plan.load * capacity / mean;
     let begin = world.now;
@@ -255,7 +302,7 @@
         } else {
             Trouble::default()
         };
-        offered.extend(offer(&mut world, plan.schedulers, &trouble));
+        offered.extend(offer(&mut world, &plan, &trouble));
     }
     world.run(Duration::from_secs(6));
     report(&world, &offered, begin)
@@ -310,7 +357,7 @@
         } else {
             1.0
         };
-        world.workers[number].pace = factor / SPEEDS[number % 3];
+        world.workers[number].pace = factor / plan.uneven.speed(number);
     }
 }
 
@@ -326,7 +373,7 @@
 }
 
 /// Hands a job in. One with a task that takes workers down is not offered work.
-fn offer(world: &mut World, schedulers: usize, trouble: &Trouble) -> Option<Offered> {
+fn offer(world: &mut World, plan: &LoadPlan, trouble: &Trouble) -> Option<Offered> {
     let draw = world.rng.random_range(0.0..100.0);
     let mut kind = 0;
     let mut sum = KINDS[0].share;
@@ -343,6 +390,9 @@
         .collect();
     let longest = works.iter().copied().max().unwrap_or_default();
     let estimate = around(world, work_ms, 0.4);
+    // Nothing is drawn where no rack is wanted, so that the seeds of such runs give what they gave.
+    let wanted = plan.uneven.wanted;
+    let near = kind == 0 && wanted > 0.0 && world.rng.random_bool(wanted);
     let number = world.callers.next_number();
     let request = JobRequest {
         number,
@@ -356,6 +406,11 @@
                 gpu: 0,
             },
             estimate_ms: estimate as u32,
+            rack: if near {
+                RACK.0.to_owned()
+            } else {
+                String::new()
+            },
             ..Step::default()
         }],
         patience_ms: 4000,
@@ -390,7 +445,7 @@
     if crashes && let Some(job) = world.callers.jobs.get_mut(&number) {
         job.crashing = Some(0);
     }
-    let scheduler = world.rng.random_range(0..schedulers);
+    let scheduler = world.rng.random_range(0..plan.schedulers);
     world.hand_in(number, scheduler);
     (!crashes).then_some(Offered {
         number,
@@ -401,6 +456,15 @@
     })
 }
 
+fn digest(world: &World) -> u64 {
+    let fold = |sum: u64, n: u64| sum.wrapping_mul(0x0100_0000_01b3) ^ n;
+    let numbers = world.answers.iter().flat_map(|(at, job, outcome)| {
+        let completed = u64::from(*outcome == JobOutcome::Completed);
+        [*at, job.0, completed]
+    });
+    numbers.fold(0, fold)
+}
+
 fn report(world: &World, offered: &[Offered], begin: u64) -> LoadReport {
     let mut windows = Vec::new();
     let mut kinds = [KindReport::default(); 3];
@@ -428,6 +492,7 @@
         windows,
         crashes: world.crashes,
         misjudged: world.witness.misjudged,
+        digest: digest(world),
         violation: world.witness.violation.clone(),
     }
 }
--- a/lib/testutils/src/dispatch/worker.rs
+++ b/lib/testutils/src/dispatch/worker.rs
@@ -55,6 +55,8 @@
     pub up: bool,
     /// Whether it says that it leaves.
     pub draining: bool,
+    /// The rack that it stands in; empty if it has none.
+    pub rack: String,
     /// How long work takes here against its ordinary time.
     pub pace: f64,
     /// Whether all that is started fails.
@@ -81,6 +83,7 @@
             shrunk: None,
             up: true,
             draining: false,
+            rack: String::new(),
             pace: 1.0,
             sick: false,
             begun: 0,
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -154,6 +154,8 @@
     pub late: f64,
     /// The share of answers of workers that are lost.
     pub lost: f64,
+    /// How many times as long a task takes outside of the rack that it wants.
+    pub remote: f64,
     /// Inputs given to the state machines.
     pub steps: u64,
     /// What callers were told, and when.
@@ -214,6 +216,7 @@
             network: Network::default(),
             late: 0.0,
             lost: 0.0,
+            remote: 1.0,
             steps: 0,
             answers: Vec::new(),
             trace: false,
--- a/lib/testutils/src/dispatch/world/at_workers.rs
+++ b/lib/testutils/src/dispatch/world/at_workers.rs
@@ -26,6 +26,11 @@
 use crate::dispatch::network::Node;
 use crate::dispatch::worker::WorkerModel;
 
+fn labels_of(rack: &str) -> Vec<String> {
+    let one = (!rack.is_empty()).then(|| rack.to_owned());
+    one.into_iter().collect()
+}
+
 impl World {
     /// How long an order takes to a worker, and how it goes there.
     pub(super) fn order_delay(&mut self, n: usize) -> (u64, Order) {
@@ -49,7 +54,11 @@
         let Some(job) = self.callers.jobs.get(&task.job) else {
             return self.witness.break_promise(format!("{task}: nobody's job"));
         };
-        let (work_us, poison) = (job.work_of(task.index), job.poison);
+        let (mut work_us, poison) = (job.work_of(task.index), job.poison);
+        let rack = &job.request.steps[task.step as usize].rack;
+        if !rack.is_empty() && *rack != self.workers[n].rack {
+            work_us = (work_us as f64 * self.remote) as u64;
+        }
         let crashes = job.crashing == Some(task.index);
         let cpu = self.witness.jobs[&task.job].cpu;
         let reply = if self.reaches(n, order) {
@@ -165,7 +174,7 @@
                 memory_mb: 65_536,
                 gpu: 0,
             },
-            labels: Vec::new(),
+            labels: labels_of(&worker.rack),
             sequence: worker.beats,
         }
     }
@@ -253,6 +262,7 @@
         let mut worker = self.new_worker(n);
         worker.capacity = old.capacity;
         worker.pace = old.pace;
+        worker.rack = old.rack;
         self.workers[n] = worker;
     }
 
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -6,3 +6,4 @@
 mod test_dispatch_run;
 mod test_fleet_cost;
 mod test_random_run;
+mod test_uneven_servers;
--- a/lib/testutils/tests/runner/test_crashing_tasks.rs
+++ b/lib/testutils/tests/runner/test_crashing_tasks.rs
@@ -22,6 +22,7 @@
 use stackcourse_testutils::dispatch::load;
 use stackcourse_testutils::dispatch::load::LoadPlan;
 use stackcourse_testutils::dispatch::load::Trouble;
+use stackcourse_testutils::dispatch::load::Uneven;
 use stackcourse_testutils::dispatch::network::Node;
 use stackcourse_testutils::dispatch::world::World;
 
@@ -94,6 +95,7 @@
                 crashing_kind: Some(0),
                 ..Trouble::default()
             },
+            uneven: Uneven::default(),
             policy: Policy::default(),
         });
         assert_eq!(report.violation, None, "seed {seed}");
@@ -124,6 +126,7 @@
                 crashing: 0.005,
                 ..Trouble::default()
             },
+            uneven: Uneven::default(),
             policy: Policy::default(),
         });
         assert_eq!(report.violation, None, "seed {seed}");
--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -6,6 +6,7 @@
 use stackcourse_testutils::dispatch::load;
 use stackcourse_testutils::dispatch::load::LoadPlan;
 use stackcourse_testutils::dispatch::load::Trouble;
+use stackcourse_testutils::dispatch::load::Uneven;
 
 fn plan(policy: Policy) -> LoadPlan {
     LoadPlan {
@@ -17,6 +18,7 @@
         late: 0.0,
         slow: 2,
         trouble: Trouble::default(),
+        uneven: Uneven::default(),
         policy,
     }
 }
