dispatch: tasks are placed by when they would end at each worker

Servers were well or slow, nothing between: a worker above twice the middle pace got tasks on trial, one below it got tasks by free cores alone. Where a quarter of the workers runs at 0.55 of the ordinary speed and the rest at 1.2, that quarter sits at the edge of the rule, and long tasks that can't end in time there went there all the same.

Change, behind `speeds.on`: an executor keeps the mean of logarithms of how long runs took against their expected times, with cumulative sums for a lasting change, and reports it. A scheduler sets it against a worker of mean speed, learns the times of queues apart from it and from far data, and takes a worker at which a task would be late only if it is late everywhere. A job that waits by choice leaves the room that it won't have to those behind it, and keeps the rest. Far slower than a worker's own history is sick; always slow is not.

Ruled out: a score for speed beside free room, which fuller workers outweigh; `slow_ratio` 4, which only takes the trials away.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -126,6 +126,7 @@
         ("joined", counts.joined),
         ("claimed", counts.claims),
         ("placed", counts.placed),
+        ("held_back", counts.held_back),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "Decisions made.";
@@ -181,6 +182,7 @@
         ("strangers", counts.strangers),
         ("ends_passed", counts.ends_passed),
         ("heartbeats_rejected", counts.beats_rejected),
+        ("speed_changes", counts.speed_changes),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "What the executor did.";
@@ -192,6 +194,10 @@
         ("tasks_waiting", waiting as i64),
         ("schedulers_linked", executor.linked() as i64),
         ("zone_evacuated", evacuated),
+        (
+            "worker_slowness_percent",
+            i64::from(executor.slowness_percent()),
+        ),
     ];
     page.gauges("executor_state", "What the executor holds now.", &held);
     page.histogram(executor.timings().collector());
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -19,5 +19,6 @@
 pub mod policy;
 pub mod rank;
 pub mod scheduler;
+pub mod speeds;
 pub mod timings;
 pub mod zones;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -15,6 +15,7 @@
 mod reports;
 mod runs;
 mod sessions;
+mod speeds;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -30,6 +31,7 @@
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Policy;
+use crate::dispatch::speeds::SpeedEstimate;
 use crate::dispatch::timings::RunTimings;
 use crate::dispatch::zones::ZoneRecord;
 use crate::event::Event;
@@ -125,6 +127,8 @@
     pub ends_passed: u64,
     /// Heartbeats that could not be read, or were not of the worker's life.
     pub beats_rejected: u64,
+    /// How often the worker's speed has changed for good.
+    pub speed_changes: u64,
 }
 
 /// The worker's clock may be this much slow.
@@ -171,6 +175,8 @@
     /// Since when that may be out of date.
     leases_stale: Option<Mono>,
     health: Health,
+    /// Over all lives of the worker that this process has seen.
+    speed: SpeedEstimate,
     fence: u64,
     /// How far it is raised next.
     fence_step: u64,
@@ -217,6 +223,7 @@
             leased: Vec::new(),
             leases_stale: None,
             health: Health::new(setup.policy.health),
+            speed: SpeedEstimate::new(setup.policy.speeds),
             unclean_since: setup.started,
             kept_until: Mono::default(),
             vacant: false,
--- a/lib/src/dispatch/executor/lists.rs
+++ b/lib/src/dispatch/executor/lists.rs
@@ -247,6 +247,9 @@
     fn learn(&mut self, now: Mono, row: &FinishedRow, kind: EndKind) {
         let run = &self.runs[&row.run.task];
         let (job, ratio) = (row.run.task.job, run.ratio(now));
+        if kind == EndKind::Done {
+            self.read_whole(now, row.run.task);
+        }
         match kind {
             EndKind::Done => self.health.done(now, job, ratio),
             EndKind::Failed => self.health.failed(now, job),
@@ -272,6 +275,7 @@
             && let Some(ratio) = run.read_pace(now, span)
         {
             self.health.read_pace(now, row.run.task.job, ratio);
+            self.read_progress(now, row.run.task, ratio);
             self.tell_if_slow(row.run.task);
         }
     }
--- a/lib/src/dispatch/executor/lives.rs
+++ b/lib/src/dispatch/executor/lives.rs
@@ -317,6 +317,7 @@
             self.log(Kind::WorkerDraining, beat.life.to_string());
         }
         self.health = Health::new(self.setup.policy.health);
+        self.speed.begin_life();
         self.unclean_since = now;
         self.worker = Some(Worker {
             beat,
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -157,7 +157,7 @@
             sequence: 0,
             pace_percent: self.health.pace_percent(),
             suspect: self.health.is_suspect(),
-            slowness_percent: 0,
+            slowness_percent: self.slowness_percent(),
             preemptible_cpu_milli: 0,
         }
     }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -58,6 +58,8 @@
     pub moved: Mono,
     /// From when and where on its pace is read next.
     mark: (Mono, u32),
+    /// The share of it that the worker's speed was read from.
+    pub read: f64,
     /// How long it will still take at its present pace, once that was read.
     pub remaining: Option<Duration>,
     /// What is known of its task from workers that crashed.
@@ -101,6 +103,11 @@
         Some(whole.as_secs_f64() / self.estimate.as_secs_f64())
     }
 
+    /// Whether it began at the beginning of its task.
+    pub fn is_fresh(&self) -> bool {
+        self.checkpoint.is_empty()
+    }
+
     /// How long it ran against its estimate, now that it has ended.
     pub fn ratio(&self, now: Mono) -> Option<f64> {
         let ran = now.since(self.began).as_secs_f64();
@@ -188,6 +195,7 @@
             percent: 0,
             moved: now,
             mark: (now, 0),
+            read: 0.0,
             remaining: None,
             crashes: waiting.crashes,
             crashed: false,
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -23,6 +23,7 @@
 mod pace;
 mod peers;
 mod placing;
+mod speeds;
 mod submit;
 
 use std::collections::BTreeMap;
@@ -49,6 +50,7 @@
 use crate::dispatch::scheduler::members::Members;
 use crate::dispatch::scheduler::pace::Paces;
 use crate::dispatch::scheduler::peers::Peer;
+use crate::dispatch::speeds::FleetSpeeds;
 use crate::dispatch::timings::JobTimings;
 use crate::dispatch::zones::Zones;
 use crate::event::Event;
@@ -141,6 +143,9 @@
     leases: Leases,
     cell: Cell,
     paces: Paces,
+    speeds: FleetSpeeds,
+    /// In a round of placing: where jobs that wait by choice leave room to those behind them; none while no job does.
+    spared: Option<BTreeSet<ExecutorKey>>,
     bulkheads: Bulkheads,
     peers: BTreeMap<String, Peer>,
     /// Peers that can't be heard here, though some executor hears them.
@@ -194,6 +199,8 @@
             leases: Leases::default(),
             cell: Cell::default(),
             paces: Paces::default(),
+            speeds: FleetSpeeds::default(),
+            spared: None,
             bulkheads: Bulkheads::default(),
             peers: BTreeMap::new(),
             doubtful: BTreeSet::new(),
--- a/lib/src/dispatch/scheduler/ends.rs
+++ b/lib/src/dispatch/scheduler/ends.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::TaskName;
+use crate::dispatch::speeds::learn_ratio;
 use crate::event::Kind;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -26,7 +27,7 @@
         };
         let (name, attempt) = TaskName::from_proto(task);
         if kind == EndKind::Done {
-            self.learn(name, Duration::from_micros(end.ran_us));
+            self.learn(key, name, Duration::from_micros(end.ran_us));
         }
         if !end.checkpoint.is_empty()
             && let Some(job) = self.jobs.get_mut(&name.job)
@@ -85,7 +86,7 @@
     }
 
     /// Learns how long tasks of a queue take against their estimates.
-    fn learn(&mut self, name: TaskName, ran: Duration) {
+    fn learn(&mut self, key: ExecutorKey, name: TaskName, ran: Duration) {
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
@@ -94,10 +95,14 @@
             return;
         }
         let ratio = ran.as_secs_f64() * 1000.0 / f64::from(step.estimate_ms);
+        let ratio = ratio / self.run_factor(key, step);
         let weight = self.setup.policy.admission.learn_weight;
         let queue = job.request.queue.clone();
         let learned = self.learned.entry(queue).or_insert(1.0);
-        *learned += weight * (ratio.min(4.0) - *learned);
+        *learned = match self.setup.policy.speeds.on {
+            true => learn_ratio(*learned, ratio, weight),
+            false => *learned + weight * (ratio.min(4.0) - *learned),
+        };
     }
 
     /// A task is not at an executor any more.
--- a/lib/src/dispatch/scheduler/executor_view.rs
+++ b/lib/src/dispatch/scheduler/executor_view.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Policy;
 use crate::dispatch::rank::Rank;
+use crate::dispatch::speeds::Usual;
 use crate::dispatch::zones::Zones;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
@@ -57,6 +58,10 @@
     pub hurried: Mono,
     /// Whether it takes much longer than the others.
     pub slow: bool,
+    /// The slowness that it is used to.
+    pub usual: Usual,
+    /// When that was last judged.
+    pub judged: Mono,
     /// Whether it has said, in its present incarnation, that nothing runs there any more, nor will.
     pub departed: bool,
     /// Whether its zone is evacuated.
@@ -100,6 +105,8 @@
             usable_at: Mono::default(),
             hurried: Mono::default(),
             slow: false,
+            usual: Usual::default(),
+            judged: now,
             departed: false,
             evacuated: false,
             zone_told: 0,
--- a/lib/src/dispatch/scheduler/figures.rs
+++ b/lib/src/dispatch/scheduler/figures.rs
@@ -17,6 +17,8 @@
     pub claims: u64,
     /// Tasks placed.
     pub placed: u64,
+    /// Jobs of which tasks waited although there was room, since they would have been late there.
+    pub held_back: u64,
     /// Tasks placed again, by why the earlier try ended.
     pub again: BTreeMap<&'static str, u64>,
     /// Jobs ended, by outcome.
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -31,6 +31,7 @@
         executor.take_link(now, link, greeting, self.setup.lapse);
         self.leases.add(&executor.profile.leased);
         self.paces.add(executor.report.pace_percent);
+        self.speeds.add(executor.report.slowness_percent);
         executor.rank = Rank::of(
             &self.setup.name,
             &greeting.name,
@@ -65,6 +66,7 @@
         self.cell.stale = true;
         self.leases.remove(&executor.profile.leased);
         self.paces.remove(executor.report.pace_percent);
+        self.speeds.remove(executor.report.slowness_percent);
         self.ends.remove(&link);
         Some(link)
     }
@@ -129,6 +131,8 @@
         if let Some(report) = update.worker {
             self.paces.add(report.pace_percent);
             self.paces.remove(executor.report.pace_percent);
+            self.speeds.add(report.slowness_percent);
+            self.speeds.remove(executor.report.slowness_percent);
             executor.take_report(report);
         }
         for end in update.ends {
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -88,6 +88,10 @@
     pub useless_at: Mono,
     /// Its place among the jobs that wait, if it does.
     pub place: Option<(u8, Mono)>,
+    /// How much its objective grows with its work.
+    pub stretch: f64,
+    /// Whether tasks of it have waited although there was room, since they would have been late there.
+    pub held_back: bool,
     /// The expected time of a task of each step at a worker of ordinary pace.
     pub expected: Vec<Duration>,
     /// The expected time from the start of each step to the end of the job.
@@ -141,6 +145,8 @@
             sure_start: now + sure.saturating_sub(policy.travel),
             useless_at,
             place: None,
+            stretch: queue.extension.max(1.0),
+            held_back: false,
             expected,
             chain,
             request,
--- a/lib/src/dispatch/scheduler/pace.rs
+++ b/lib/src/dispatch/scheduler/pace.rs
@@ -65,6 +65,9 @@
 impl Scheduler {
     /// Judges whether an executor that has just reported takes much longer than the others.
     pub(super) fn judge_pace(&mut self, key: ExecutorKey) {
+        if self.judge_usual(key) {
+            return;
+        }
         let median = self.paces.median();
         let bound = self.setup.policy.health.slow_ratio * median;
         let executor = &mut self.executors[key];
--- a/lib/src/dispatch/scheduler/placing.rs
+++ b/lib/src/dispatch/scheduler/placing.rs
@@ -8,6 +8,7 @@
 use super::jobs::Job;
 use super::jobs::Phase;
 use super::jobs::TaskState;
+use super::speeds::Fit;
 use crate::dispatch::model::Demand;
 use crate::dispatch::model::Free;
 use crate::dispatch::model::JobNumber;
@@ -35,6 +36,15 @@
     trial: bool,
 }
 
+/// What was found for a task.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    /// Where it goes, and whether that is an executor on trial.
+    place: Option<(ExecutorKey, bool)>,
+    /// Whether it waits although there is room, since it would be late there.
+    held_back: bool,
+}
+
 impl Scheduler {
     /// Puts a job where it belongs among those that wait, if it has tasks to place.
     pub(super) fn queue_job(&mut self, number: JobNumber) {
@@ -79,6 +89,7 @@
             self.waiting.iter().take(most).map(|w| (w.0, w.2)).collect();
         self.note_gap();
         self.settle_cell();
+        self.spared = None;
         for (class, number) in numbers {
             if self.jobs.get(&number).is_some_and(|j| self.is_exposed(j)) {
                 self.claim(number);
@@ -92,7 +103,7 @@
             if !whole {
                 self.widen_cell();
             }
-            if matches!(class, URGENT | FRESH) && !whole && !confined {
+            if matches!(class, URGENT | FRESH) && !whole && !confined && !self.spares_room(number) {
                 break;
             }
         }
@@ -104,7 +115,11 @@
         let Some(mut job) = self.jobs.remove(&number) else {
             return;
         };
-        let plan = self.plan(&job);
+        let before = std::mem::take(&mut job.held_back);
+        let plan = self.plan(&mut job);
+        if job.held_back && !before {
+            self.hold_back(number);
+        }
         let ready = job.tasks.iter().filter(|t| t.state == TaskState::Ready);
         let enough =
             plan.len() as f64 >= ready.count() as f64 * self.setup.policy.admission.begin_share;
@@ -128,7 +143,7 @@
     }
 
     /// Where each of the ready tasks would go, as far as there is room.
-    fn plan(&mut self, job: &Job) -> Vec<Placing> {
+    fn plan(&mut self, job: &mut Job) -> Vec<Placing> {
         let mut free: SecondaryMap<ExecutorKey, Free> = SecondaryMap::new();
         let barred = self.barred_from(&job.request.queue);
         for key in &self.cell.near {
@@ -146,7 +161,7 @@
 
     fn plan_step(
         &mut self,
-        job: &Job,
+        job: &mut Job,
         step: u32,
         free: &mut SecondaryMap<ExecutorKey, Free>,
         plan: &mut Vec<Placing>,
@@ -162,7 +177,9 @@
         let mut next = 0;
         while next < todo.len() {
             let avoid = job.tasks[todo[next]].avoid;
-            let Some((key, trial)) = self.choose(job, step, avoid, free, plan) else {
+            let chosen = self.choose(job, step, avoid, free, plan);
+            let Some((key, trial)) = chosen.place else {
+                job.held_back |= chosen.held_back;
                 return;
             };
             // Suspects of one crash go to different workers, so that a second one tells which it was.
@@ -243,7 +260,9 @@
         }
         job.began = true;
         let s = &job.request.steps[step as usize];
-        let latest = job.objective_at - job.chain[step as usize];
+        let latest = self.latest_at(job, step, key);
+        let estimate = self.expected_at(job, step, key);
+        let speed = self.speed_words(job, step, key);
         let slack = now
             .until(latest)
             .max(self.setup.policy.placement.least_slack);
@@ -255,14 +274,14 @@
             demand: Some(s.demand.proto()),
             tasks: starts,
             slack_ms: crate::clock::millis(slack) as u32,
-            estimate_ms: crate::clock::millis(job.expected[step as usize]) as u32,
+            estimate_ms: crate::clock::millis(estimate) as u32,
             priority: job.priority,
             spread: s.spread,
             preempts: false,
         };
         let executor = &mut self.executors[key];
         let detail = format!(
-            "{}.0.{step} at {}: {} tasks, report {} ms old, {} milli-cores left",
+            "{}.0.{step} at {}: {} tasks, report {} ms old, {} milli-cores left{speed}",
             job.request.number,
             executor.name,
             message.tasks.len(),
@@ -274,7 +293,8 @@
         self.log(Kind::TasksPlaced, detail);
     }
 
-    /// The executor for a task of a step, and whether it is one on trial.
+    /// The executor for a task of a step, if there is one. One at which the task would be late is taken only if it
+    /// would be late at all others, also at those that have no room now.
     fn choose(
         &mut self,
         job: &Job,
@@ -282,14 +302,21 @@
         avoid: Option<ExecutorKey>,
         free: &SecondaryMap<ExecutorKey, Free>,
         plan: &[Placing],
-    ) -> Option<(ExecutorKey, bool)> {
+    ) -> Choice {
         let s = &job.request.steps[step as usize];
         let now = self.now;
         let policy = self.setup.policy;
         let mut best: Option<(f64, ExecutorKey, bool)> = None;
+        let mut late: Option<(f64, ExecutorKey, bool)> = None;
+        let mut reachable = false;
         for (key, room) in free {
             let executor = &self.executors[key];
-            if Some(key) == avoid || !room.holds(s.demand) || !suits(executor, s) {
+            if Some(key) == avoid || !suits(executor, s) {
+                continue;
+            }
+            let fit = self.fit(job, step, executor);
+            reachable |= matches!(fit, Some(Fit::InTime(_)));
+            if !room.holds(s.demand) || !self.is_spared(key) {
                 continue;
             }
             let planned = plan.iter().filter(|p| p.step == step && p.key == key);
@@ -297,11 +324,24 @@
             if s.spread > 0 && here >= s.spread as usize {
                 continue;
             }
-            let trial = executor.slow || executor.report.suspect;
+            let sick = executor.slow || executor.report.suspect;
+            let unproved = matches!(fit, Some(Fit::Late(_))) && self.is_unproved(executor);
+            let trial = sick || unproved;
             if trial && now.since(executor.last_trial) < self.trial_gap(executor) {
                 continue;
             }
+            if let Some(Fit::Late(score)) = fit
+                && !trial
+            {
+                if late.is_none_or(|(l, _, _)| score > l) {
+                    late = Some((score, key, false));
+                }
+                continue;
+            }
             let mut score = room.cpu_milli as f64;
+            if let Some(Fit::InTime(favour)) = fit {
+                score += favour;
+            }
             score += self.rng.random_range(0.0..policy.placement.jitter.max(1.0));
             if executor.zone == self.setup.zone {
                 score += policy.placement.own_zone;
@@ -316,7 +356,12 @@
                 best = Some((score, key, trial));
             }
         }
-        best.map(|(_, key, trial)| (key, trial))
+        let held_back = best.is_none() && late.is_some() && reachable;
+        let best = best.or(if reachable { None } else { late });
+        Choice {
+            place: best.map(|(_, key, trial)| (key, trial)),
+            held_back,
+        }
     }
 
     /// Ends the jobs that wait for nothing.
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -114,6 +114,10 @@
     LeaseOver = 435, Warn, "a scheduler's lease is over; what runs for it is stopped";
     Paused = 436, Warn, "this process did not run for so long that the others have given it up; it links anew";
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
+    SpeedChanged = 470, Info, "a worker's speed has changed for good";
+    WorkerSlower = 471, Warn, "a worker is far slower than it is used to be; it gets trial tasks only";
+    WorkerSteady = 472, Info, "a worker is as fast as it is used to be";
+    JobHeldBack = 473, Info, "tasks of a job wait although there is room, since they would be late there";
 }
 
 /// One occurrence of an event.
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -7,6 +7,7 @@
 mod recall;
 mod restarts;
 mod slow;
+mod speeds;
 mod standby;
 mod worker;
 
@@ -57,6 +58,10 @@
     }
 
     fn new() -> Bench {
+        Bench::with_policy(Policy::default())
+    }
+
+    fn with_policy(policy: Policy) -> Bench {
         let setup = ExecutorSetup {
             name: "e".to_owned(),
             zone: "z".to_owned(),
@@ -66,7 +71,7 @@
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
             heartbeat: Duration::from_millis(1500),
-            policy: Policy::default(),
+            policy,
         };
         Bench {
             executor: Executor::new(setup),
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod handing;
 mod slow;
+mod speeds;
 
 use std::rc::Rc;
 use std::time::Duration;
