--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -128,6 +128,7 @@
         ("placed", counts.placed),
         ("handed", counts.handed),
         ("taken_handed", counts.taken),
+        ("held_back", counts.held_back),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "Decisions made.";
@@ -202,6 +203,7 @@
         ("heartbeats_rejected", counts.beats_rejected),
         ("preempted", counts.preempted),
         ("preempted_core_ms", counts.wasted),
+        ("speed_changes", counts.speed_changes),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "What the executor did.";
@@ -213,6 +215,10 @@
         ("tasks_waiting", waiting as i64),
         ("schedulers_linked", executor.linked() as i64),
         ("zone_evacuated", evacuated),
+        (
+            "worker_slowness_percent",
+            i64::from(executor.slowness_percent()),
+        ),
     ];
     page.gauges("executor_state", "What the executor holds now.", &held);
     page.histogram(executor.timings().collector());
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -22,5 +22,6 @@
 pub mod preemption;
 pub mod rank;
 pub mod scheduler;
+pub mod speeds;
 pub mod timings;
 pub mod zones;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -16,6 +16,7 @@
 mod reports;
 mod runs;
 mod sessions;
+mod speeds;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -32,6 +33,7 @@
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Policy;
 use crate::dispatch::preemption::Budget;
+use crate::dispatch::speeds::SpeedEstimate;
 use crate::dispatch::timings::RunTimings;
 use crate::dispatch::zones::ZoneRecord;
 use crate::event::Event;
@@ -131,6 +133,8 @@
     pub preempted: u64,
     /// The work of theirs that was thrown away, in thousandths of a core-second.
     pub wasted: u64,
+    /// How often the worker's speed has changed for good.
+    pub speed_changes: u64,
 }
 
 /// The worker's clock may be this much slow.
@@ -181,6 +185,8 @@
     health: Health,
     /// What stops for more urgent tasks may still throw away.
     budget: Budget,
+    /// Over all lives of the worker that this process has seen.
+    speed: SpeedEstimate,
     fence: u64,
     /// How far it is raised next.
     fence_step: u64,
@@ -229,6 +235,7 @@
             leases_stale: None,
             health: Health::new(setup.policy.health),
             budget: Budget::default(),
+            speed: SpeedEstimate::new(setup.policy.speeds),
             unclean_since: setup.started,
             kept_until: Mono::default(),
             vacant: false,
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -28,6 +28,7 @@
 mod preempting;
 mod roster;
 mod silent;
+mod speeds;
 mod submit;
 
 use std::collections::BTreeMap;
@@ -57,6 +58,7 @@
 use crate::dispatch::scheduler::pace::Paces;
 use crate::dispatch::scheduler::peers::Peer;
 use crate::dispatch::scheduler::roster::RosterSync;
+use crate::dispatch::speeds::FleetSpeeds;
 use crate::dispatch::timings::JobTimings;
 use crate::dispatch::zones::Zones;
 use crate::event::Event;
@@ -150,6 +152,9 @@
     cell: Cell,
     contention: Contention,
     paces: Paces,
+    speeds: FleetSpeeds,
+    /// In a round of placing: where jobs that wait by choice leave room to those behind them; none while no job does.
+    spared: Option<BTreeSet<ExecutorKey>>,
     bulkheads: Bulkheads,
     peers: BTreeMap<String, Peer>,
     /// What is known of its own load and that of peers.
@@ -209,6 +214,8 @@
             cell: Cell::default(),
             contention: Contention::default(),
             paces: Paces::default(),
+            speeds: FleetSpeeds::default(),
+            spared: None,
             bulkheads: Bulkheads::default(),
             peers: BTreeMap::new(),
             loads: Loads::default(),
--- a/lib/src/dispatch/scheduler/contention.rs
+++ b/lib/src/dispatch/scheduler/contention.rs
@@ -104,6 +104,7 @@
         let numbers: Vec<JobNumber> = self.waiting.iter().take(most).map(|w| w.2).collect();
         self.note_gap();
         self.settle_cell();
+        self.spared = None;
         let free = self.free_room();
         let mut round = Round::new(self.now, free, policy.contention.round_misses);
         for number in numbers {
@@ -145,6 +146,8 @@
         {
             match after < before {
                 true => round.begin_part(),
+                // It waits by choice for a better worker, which the jobs behind it leave alone.
+                false if self.spares_room(number) => {}
                 false => round.miss(entrant),
             }
         }
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -92,6 +92,10 @@
     pub preempted_at: Option<Mono>,
     /// Its place among the jobs that wait, if it does.
     pub place: Option<(u8, Mono)>,
+    /// How much its objective grows with its work.
+    pub stretch: f64,
+    /// Whether tasks of it have waited although there was room, since they would have been late there.
+    pub held_back: bool,
     /// The expected time of a task of each step at a worker of ordinary pace.
     pub expected: Vec<Duration>,
     /// The expected time from the start of each step to the end of the job.
@@ -146,6 +150,8 @@
             useless_at,
             preempted_at: None,
             place: None,
+            stretch: queue.extension.max(1.0),
+            held_back: false,
             expected,
             chain,
             request,
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -120,6 +120,10 @@
     RunsPreempted = 465, Info, "runs are stopped to make room for a more urgent task";
     RoomKept = 466, Info, "an urgent task finds no room, and no runs may be stopped for it";
     RoomTaken = 467, Info, "an urgent job that finds no room is placed where runs may be stopped for it";
+    SpeedChanged = 470, Info, "a worker's speed has changed for good";
+    WorkerSlower = 471, Warn, "a worker is far slower than it is used to be; it gets trial tasks only";
+    WorkerSteady = 472, Info, "a worker is as fast as it is used to be";
+    JobHeldBack = 473, Info, "tasks of a job wait although there is room, since they would be late there";
     JobEvenedOut = 475, Info, "more waits here than at others; a peer runs a job";
     EntryBusy = 476, Warn, "this entry is short of processor time; it is handed no jobs";
     EntryRelieved = 477, Info, "this entry is not short of processor time any more";
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -9,6 +9,7 @@
 mod recall;
 mod restarts;
 mod slow;
+mod speeds;
 mod standby;
 mod worker;
 
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -13,6 +13,7 @@
 mod preempting;
 mod returning;
 mod slow;
+mod speeds;
 
 use std::rc::Rc;
 use std::time::Duration;
