dispatch: by speed, a job's latest start sets nothing aside for slow workers

`admission.slow_allowance` keeps a quarter of a job's time for the slowest ordinary worker.

Ruled out: `speeds.keep_fast` 0 and 1000 in its place, which did not help.

Tests on the model: half the workers at a third of the others' speed; 60 % of a queue wants one rack.

--- a/lib/src/dispatch/scheduler/speeds.rs
+++ b/lib/src/dispatch/scheduler/speeds.rs
@@ -10,6 +10,7 @@
 use super::jobs::TaskState;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::Step;
+use crate::dispatch::policy::Admission;
 use crate::dispatch::speeds::Outlook;
 use crate::event::Kind;
 use crate::prelude::*;
@@ -28,6 +29,16 @@
         self.setup.policy.speeds.on
     }
 
+    /// The policy by which a job's latest start goes. Where speeds are known nothing is set aside for slow workers: a
+    /// job goes to those at which it still ends in time.
+    pub(super) fn admission(&self) -> Admission {
+        let mut policy = self.setup.policy.admission;
+        if self.by_speed() {
+            policy.slow_allowance = 1.0;
+        }
+        policy
+    }
+
     /// How many times as long a step's task takes at a worker as at one of mean speed near its data.
     fn factor(&self, executor: &ExecutorView, step: &Step) -> f64 {
         let own = executor.report.slowness_percent;
--- a/lib/src/dispatch/scheduler/submit.rs
+++ b/lib/src/dispatch/scheduler/submit.rs
@@ -98,8 +98,8 @@
             return turned(request, "no-queue");
         };
         let learned = self.learned.get(&request.queue).copied().unwrap_or(1.0);
-        let policy = &self.setup.policy.admission;
-        let job = Job::new(self.now, request, queue, learned, policy);
+        let policy = self.admission();
+        let job = Job::new(self.now, request, queue, learned, &policy);
         if !claim && self.is_cut_off() {
             return turned(job.request, "no-executor");
         }
--- a/lib/tests/runner/test_scheduler/speeds.rs
+++ b/lib/tests/runner/test_scheduler/speeds.rs
@@ -80,15 +80,15 @@
         self.take();
     }
 
-    fn submit_near(&mut self, number: u64, tasks: u32, estimate_ms: u32, rack: &str) {
+    fn submit_near(&mut self, number: u64, cpu_milli: u32, estimate_ms: u32, rack: &str) {
         let request = JobRequest {
             number: JobNumber(number),
             queue: "q".to_owned(),
             spec: Rc::from("x"),
             steps: vec![Step {
-                count: tasks,
+                count: 1,
                 demand: Demand {
-                    cpu_milli: 1000,
+                    cpu_milli,
                     memory_mb: 10,
                     gpu: 0,
                 },
@@ -136,8 +136,10 @@
     let mut bench = uneven();
     bench.submit(1, 7, 1);
     bench.submit_of(2, 8, 1, 800);
-    bench.pass(180);
-    bench.speeds(FULL, ROOM);
+    for _ in 0..3 {
+        bench.pass(100);
+        bench.speeds(FULL, ROOM);
+    }
     bench.submit(3, 9, 1);
     let short = [(7, 100), (9, 100)];
     assert_eq!(bench.jobs_at(SLOW), short, "also the one behind it");
@@ -146,6 +148,18 @@
     assert_eq!(bench.jobs_at(FAST), [(8, 800)]);
 }
 
+/// A smaller job behind one that waits for a fast worker would take each piece of room there first.
+#[test]
+fn test_scheduler_keeps_fast_room_for_the_job_that_waits_for_it() {
+    let mut bench = uneven();
+    bench.speeds(900, ROOM);
+    bench.submit_near(8, 1000, 800, "");
+    bench.submit_near(9, 500, 900, "");
+    assert_eq!(bench.starts(), []);
+    bench.speeds(ROOM, ROOM);
+    assert_eq!(bench.jobs_at(FAST), [(8, 800), (9, 900)]);
+}
+
 #[test]
 fn test_scheduler_leaves_fast_workers_to_tasks_that_need_them() {
     let mut bench = uneven();
@@ -195,8 +209,8 @@
 fn test_scheduler_expects_more_of_a_run_that_is_far_from_its_data() {
     let mut bench = uneven();
     bench.speeds(FULL, ROOM);
-    bench.submit_near(7, 1, 10, RACK);
-    bench.submit_near(8, 1, 10, "");
+    bench.submit_near(7, 1000, 10, RACK);
+    bench.submit_near(8, 1000, 10, "");
     assert_eq!(bench.jobs_at(SLOW), [(7, 20), (8, 10)]);
 }
 
--- a/lib/testutils/tests/runner/test_uneven_servers.rs
+++ b/lib/testutils/tests/runner/test_uneven_servers.rs
@@ -40,3 +40,45 @@
         [4_336_022_938_636_250_089, 8_263_911_642_410_862_068]
     );
 }
+
+fn by_speed() -> Policy {
+    let mut policy = Policy::default();
+    policy.speeds.on = true;
+    policy
+}
+
+/// Half of the workers at a third of the others' speed, most of them full. Without the speeds two of five long jobs are late.
+#[test]
+fn test_uneven_servers_serve_more_where_tasks_go_by_speed() {
+    const SEEDS: u64 = 3;
+    let half = Uneven::of(&[0.5, 1.5]);
+    let [off, on] = [Policy::default(), by_speed()].map(|policy| {
+        let plans = (1..=SEEDS).map(|seed| LoadPlan {
+            load: 0.8,
+            slow: 0,
+            ..plan(seed, half, policy)
+        });
+        plans.map(|plan| play(plan).goodput()).sum::<f64>() / SEEDS as f64
+    });
+    assert!(on > off + 0.03, "{on} of the work in time, {off} without");
+}
+
+/// Data of 60 % of a queue lies in one rack, a sixth of the workers; elsewhere its tasks take twice as long.
+#[test]
+fn test_uneven_servers_fewer_jobs_are_late_far_from_their_data() {
+    const SEEDS: u64 = 3;
+    let mut rack = Uneven::default();
+    rack.wanted = 0.6;
+    rack.remote = 2.0;
+    let mut far = by_speed();
+    far.speeds.far_factor = 2.0;
+    let [off, on] = [Policy::default(), far].map(|policy| {
+        let plans = (1..=SEEDS).map(|seed| LoadPlan {
+            load: 0.7,
+            slow: 0,
+            ..plan(seed, rack, policy)
+        });
+        plans.map(|plan| play(plan).kinds[0].late).sum::<u64>()
+    });
+    assert!(on < off, "{on} jobs late, {off} without");
+}
