testutils: bursts of urgent jobs on the load model, and seeds with preemption

Eight seeds of the random run have preemption on, with losses and changing rooms. A run of load is the same, job by job, whatever the other fields of `preemption` are while its switch is off.

--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -45,6 +45,7 @@
     let queues = "Queues of a configuration that is accepted each second of the middle half";
     let crashing = "Jobs of a thousand in the middle half with a task that takes workers down";
     let crashing_kind = "The kind of those jobs, from 1, as they are printed; 0 for all";
+    let urgent = "More jobs of the first kind in the middle half, of a hundred jobs";
     let restarts = "Executors that are restarted in the middle half, one each 200 ms";
     Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
@@ -66,6 +67,7 @@
         .arg(number("restarts", "0", restarts))
         .arg(number("crashing", "0", crashing))
         .arg(number("crashing-kind", "0", crashing_kind))
+        .arg(number("urgent", "0", urgent))
         .arg(
             Arg::new("set")
                 .long("set")
@@ -128,6 +130,7 @@
             crashing_kind: value(matches, "crashing-kind")
                 .checked_sub(1)
                 .map(|k| k as usize),
+            urgent: value(matches, "urgent") as u32,
         },
         policy,
     };
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -111,6 +111,8 @@
     pub crashing: f64,
     /// The kind of those jobs; none for all kinds.
     pub crashing_kind: Option<usize>,
+    /// How many jobs of the first kind, the most urgent one, come beside each hundred of all jobs in the middle half.
+    pub urgent: u32,
 }
 
 /// How many times the bandwidth of a small scheduler's machine a large one's has.
@@ -255,7 +257,12 @@
         } else {
             Trouble::default()
         };
-        offered.extend(offer(&mut world, plan.schedulers, &trouble));
+        let kind = draw_kind(&mut world);
+        offered.extend(offer(&mut world, plan.schedulers, &trouble, kind));
+        // Nothing is drawn without a burst, so that the seeds of such runs give what they gave.
+        if trouble.urgent > 0 && world.rng.random_ratio(trouble.urgent.min(100), 100) {
+            offered.extend(offer(&mut world, plan.schedulers, &trouble, 0));
+        }
     }
     world.run(Duration::from_secs(6));
     report(&world, &offered, begin)
@@ -325,8 +332,8 @@
     (mean * (1.0 + spread * (sum - 6.0))).max(mean / 10.0)
 }
 
-/// Hands a job in. One with a task that takes workers down is not offered work.
-fn offer(world: &mut World, schedulers: usize, trouble: &Trouble) -> Option<Offered> {
+/// The kind of the next job.
+fn draw_kind(world: &mut World) -> usize {
     let draw = world.rng.random_range(0.0..100.0);
     let mut kind = 0;
     let mut sum = KINDS[0].share;
@@ -334,6 +341,11 @@
         kind += 1;
         sum += KINDS[kind].share;
     }
+    kind
+}
+
+/// Hands a job in. One with a task that takes workers down is not offered work.
+fn offer(world: &mut World, schedulers: usize, trouble: &Trouble, kind: usize) -> Option<Offered> {
     let k = KINDS[kind];
     let count = (around(world, k.width, 0.4).round() as u32).clamp(1, k.widest);
     let work_ms = around(world, k.work_ms, 0.4);
--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -57,6 +57,7 @@
                 queues: 1500,
                 restarts: 20,
                 crashing: 0.0,
+                urgent: 0,
             },
             ..plan(Policy::default())
         };
@@ -68,3 +69,21 @@
     }
     assert!(goodput > 0.85, "{goodput} of the work in time meanwhile");
 }
+
+/// Fields of a mechanism that is off decide nothing: each job of the run ends as it did.
+#[test]
+fn test_dispatch_load_is_the_same_while_preemption_is_off() {
+    let mut other = Policy::default();
+    other.preemption.margin = Duration::from_millis(500);
+    other.preemption.stop_time = Duration::from_millis(1);
+    other.preemption.stops = 9;
+    other.preemption.waste_share = 1.0;
+    let [plain, other] = [Policy::default(), other].map(|policy| {
+        load::run(LoadPlan {
+            load: 1.3,
+            slow: 0,
+            ..plan(policy)
+        })
+    });
+    assert_eq!(plain, other);
+}
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -89,6 +89,25 @@
     }
 }
 
+/// Urgent jobs that stop the runs of others, among all other faults.
+#[test]
+fn test_dispatch_run_keeps_every_promise_while_runs_are_preempted() {
+    let mut preempted = 0;
+    for seed in 1..9 {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            preempting: true,
+            losses: seed % 3 == 0,
+            resizing: seed % 2 == 0,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        preempted += report.preempted;
+    }
+    assert!(preempted > 0, "no run was stopped for an urgent job");
+}
+
 /// Workers whose rooms shrink and grow. In seed 48 an executor that was paused for 3.5 s took the old room for the present one.
 #[test]
 fn test_dispatch_run_keeps_every_promise_when_rooms_change() {
