--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -49,6 +49,7 @@
     let wanted =
         "Jobs of a hundred of the first kind whose data lies in one rack, a sixth of the workers";
     let remote = "How long a task takes outside of its data's rack, in percent";
+    let urgent = "More jobs of the first kind in the middle half, of a hundred jobs";
     let restarts = "Executors that are restarted in the middle half, one each 200 ms";
     Command::new("dispatch-load")
         .about("Plays the users' mix of jobs at shares of the workers' capacity")
@@ -70,6 +71,7 @@
         .arg(number("restarts", "0", restarts))
         .arg(number("crashing", "0", crashing))
         .arg(number("crashing-kind", "0", crashing_kind))
+        .arg(number("urgent", "0", urgent))
         .arg(
             Arg::new("speeds")
                 .long("speeds")
@@ -150,6 +152,7 @@
             crashing_kind: value(matches, "crashing-kind")
                 .checked_sub(1)
                 .map(|k| k as usize),
+            urgent: value(matches, "urgent") as u32,
         },
         policy,
     };
