--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -41,6 +41,8 @@
 const LOSSES: f64 = 0.004;
 /// The share of schedulers that the store turns away when they start.
 const UNSERVED: f64 = 0.4;
+/// How likely an executor is lost at each step while schedulers serve early.
+const LOST_AGAIN: f64 = 0.04;
 /// How likely a job has a task that takes workers down.
 const CRASHING: f64 = 0.02;
 /// How likely a worker's room changes at each step.
@@ -159,6 +161,9 @@
         if world.rng.random_bool(faults) {
             fault(&mut world);
         }
+        if plan.recovering && world.rng.random_bool(LOST_AGAIN) {
+            lose_again(&mut world);
+        }
         if plan.losses && world.rng.random_bool(LOSSES) {
             lose_many(&mut world, plan.reborn);
         }
@@ -295,6 +300,23 @@
     }
 }
 
+/// Loses an executor without anybody hearing of it, and one in three times a scheduler with it, which starts anew soon.
+fn lose_again(world: &mut World) {
+    let (schedulers, executors) = world.size();
+    let n = world.rng.random_range(0..executors);
+    let away = world.rng.random_range(400_000..2_500_000);
+    if world.is_node_up(Node::Executor(n)) {
+        world.kill(Node::Executor(n), true, away);
+    }
+    if world.rng.random_bool(0.33) {
+        let scheduler = Node::Scheduler(world.rng.random_range(0..schedulers));
+        let away = world.rng.random_range(100_000..900_000);
+        if world.is_node_up(scheduler) {
+            world.kill(scheduler, false, away);
+        }
+    }
+}
+
 /// Kills all schedulers, all executors, or everybody. Each comes back by itself. With `workers`, those lose
 /// power at the same moment as everybody.
 fn lose_many(world: &mut World, workers: bool) {
