--- a/lib/tests/runner/test_executor/accounts.rs
+++ b/lib/tests/runner/test_executor/accounts.rs
@@ -15,8 +15,9 @@
 }
 
 fn owners(bench: &Bench, link: LinkId) -> Vec<u64> {
-    let profiles = bench.updates(link).into_iter().filter_map(|u| u.profile);
-    profiles.last().expect("a profile").owners
+    let updates = bench.updates(link).into_iter().rev();
+    let profile = updates.filter_map(|u| u.profile).next();
+    profile.expect("a profile").owners
 }
 
 #[test]
