testutils, docs: demand that swings between zones is replayed, and jobs handed on are in the random run

Cause: the model shared its load evenly among schedulers, so what uneven demand does could not be seen on it.

The new test of the load was not run yet in this form.

--- a/lib/testutils/src/bin/dispatch-load.rs
+++ b/lib/testutils/src/bin/dispatch-load.rs
@@ -33,12 +33,13 @@
     println!("load  goodput (sd)  in time, late, refused of each kind in percent");
     for load in loads.split(',').filter_map(|l| l.parse().ok()) {
         let reports: Vec<LoadReport> = plans(&matches, load, policy).map(load::run).collect();
-        print_line(load, &reports);
+        print_line(load, &reports, value(&matches, "swing") > 0);
     }
     ExitCode::SUCCESS
 }
 
 fn command() -> Command {
+    let swing = "How much more than its part the first third of the schedulers takes, in percent; the last third takes as much less";
     let late = "Orders of a hundred that are carried out late";
     let slow = "Workers that take five times as long in the middle half of the run";
     let mbit = "Mbit/s of two thirds of the schedulers' machines; 0 for no limit";
@@ -57,6 +58,7 @@
         .arg(number("seconds", "10", "Virtual seconds of each run"))
         .arg(number("schedulers", "3", "Schedulers that share the load"))
         .arg(number("workers", "11", "Workers"))
+        .arg(number("swing", "0", swing))
         .arg(number("seed", "1", "The first seed"))
         .arg(number("seeds", "1", "How many seeds"))
         .arg(number("late", "0", late))
@@ -118,6 +120,7 @@
         span: Duration::from_secs(value(matches, "seconds")),
         schedulers: value(matches, "schedulers") as usize,
         workers: value(matches, "workers") as usize,
+        swing: value(matches, "swing") as f64 / 100.0,
         late: value(matches, "late") as f64 / 100.0,
         slow: value(matches, "slow") as usize,
         trouble: Trouble {
@@ -135,7 +138,7 @@
     seeds.map(move |seed| LoadPlan { seed, ..plan })
 }
 
-fn print_line(load: f64, reports: &[LoadReport]) {
+fn print_line(load: f64, reports: &[LoadReport], swing: bool) {
     let count = reports.len() as f64;
     let mean = reports.iter().map(LoadReport::goodput).sum::<f64>() / count;
     let squares = reports.iter().map(|r| (r.goodput() - mean).powi(2));
@@ -159,6 +162,16 @@
         " middle half: {:5.3}, well after {back:.1} s ",
         trouble / count
     );
+    if swing {
+        let share = |n: usize| {
+            reports
+                .iter()
+                .map(|r| r.thirds[n].1 / r.thirds[n].0)
+                .sum::<f64>()
+                / count
+        };
+        print!(" thirds: {:.3} {:.3} {:.3} ", share(0), share(1), share(2));
+    }
     let crashes: u64 = reports.iter().map(|r| r.crashes).sum();
     let misjudged: u64 = reports.iter().map(|r| r.misjudged).sum();
     if crashes > 0 {
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -64,6 +64,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also ask executors to leave, and start them again"),
         )
+        .arg(
+            Arg::new("balance")
+                .long("balance")
+                .action(ArgAction::SetTrue)
+                .help("Let schedulers hand jobs that wait to others at which less waits"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -107,6 +113,7 @@
             leaving: matches.get_flag("leaving"),
             departing: matches.get_flag("departing"),
             reborn: matches.get_flag("reborn"),
+            balance: matches.get_flag("balance"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -86,6 +86,8 @@
     pub schedulers: usize,
     /// How many workers there are.
     pub workers: usize,
+    /// How much more than its part the first third of the schedulers takes, and the last third less.
+    pub swing: f64,
     /// The share of orders to workers that are carried out late.
     pub late: f64,
     /// How many workers take [`SLOW_PACE`] times as long in the middle half of the span.
@@ -144,6 +146,8 @@
 pub struct LoadReport {
     /// By kind, in the order of [`KINDS`].
     pub kinds: [KindReport; 3],
+    /// The work that was offered and that was done in time, by thirds of the schedulers.
+    pub thirds: [(f64, f64); 3],
     /// The work that was offered and that was done in time, by windows of half a second.
     pub windows: Vec<(f64, f64)>,
     /// How many lives of workers were taken down by a task.
@@ -184,6 +188,7 @@
 struct Offered {
     number: JobNumber,
     kind: usize,
+    third: usize,
     at: u64,
     objective_us: u64,
     work: f64,
@@ -255,7 +260,7 @@
         } else {
             Trouble::default()
         };
-        offered.extend(offer(&mut world, plan.schedulers, &trouble));
+        offered.extend(offer(&mut world, &plan, &trouble));
     }
     world.run(Duration::from_secs(6));
     report(&world, &offered, begin)
@@ -326,7 +331,7 @@
 }
 
 /// Hands a job in. One with a task that takes workers down is not offered work.
-fn offer(world: &mut World, schedulers: usize, trouble: &Trouble) -> Option<Offered> {
+fn offer(world: &mut World, plan: &LoadPlan, trouble: &Trouble) -> Option<Offered> {
     let draw = world.rng.random_range(0.0..100.0);
     let mut kind = 0;
     let mut sum = KINDS[0].share;
@@ -390,24 +395,38 @@
     if crashes && let Some(job) = world.callers.jobs.get_mut(&number) {
         job.crashing = Some(0);
     }
-    let scheduler = world.rng.random_range(0..schedulers);
+    let scheduler = entry(world, plan);
+    let third = scheduler * 3 / plan.schedulers;
     world.hand_in(number, scheduler);
     (!crashes).then_some(Offered {
         number,
         kind,
+        third,
         at,
         objective_us: (longest as f64 * EXTENSION) as u64 + u64::from(OBJECTIVE_MS) * 1000,
         work,
     })
 }
 
+/// Where a job is handed in. Without a swing nothing more is drawn, so that the seeds of such runs give what they gave.
+fn entry(world: &mut World, plan: &LoadPlan) -> usize {
+    let drawn = world.rng.random_range(0..plan.schedulers);
+    let third = drawn * 3 / plan.schedulers;
+    if third < 2 || plan.swing == 0.0 || !world.rng.random_bool(plan.swing) {
+        return drawn;
+    }
+    world.rng.random_range(0..plan.schedulers.div_ceil(3))
+}
+
 fn report(world: &World, offered: &[Offered], begin: u64) -> LoadReport {
     let mut windows = Vec::new();
     let mut kinds = [KindReport::default(); 3];
+    let mut thirds = [(0.0, 0.0); 3];
     for job in offered {
         let kind = &mut kinds[job.kind];
         kind.offered += 1;
         kind.work.0 += job.work;
+        thirds[job.third].0 += job.work;
         let window = ((job.at - begin) / WINDOW_US) as usize;
         windows.resize(windows.len().max(window + 1), (0.0, 0.0));
         windows[window].0 += job.work;
@@ -416,6 +435,7 @@
             Some((at, _, JobOutcome::Completed)) if at - job.at <= job.objective_us => {
                 kind.in_time += 1;
                 kind.work.1 += job.work;
+                thirds[job.third].1 += job.work;
                 windows[window].1 += job.work;
             }
             Some((_, _, JobOutcome::Completed)) => kind.late += 1,
@@ -425,6 +445,7 @@
     }
     LoadReport {
         kinds,
+        thirds,
         windows,
         crashes: world.crashes,
         misjudged: world.witness.misjudged,
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -87,6 +87,8 @@
     pub departing: bool,
     /// Whether workers that have crashed come up under the id that they had.
     pub reborn: bool,
+    /// Whether schedulers hand jobs that wait to others at which less waits.
+    pub balance: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -109,7 +111,7 @@
         plan.seed,
         (SCHEDULERS, EXECUTORS, zones),
         Callers::default().catalog,
-        policy(plan.cell),
+        policy(&plan),
     );
     world.trace = plan.trace;
     if plan.reborn {
@@ -174,9 +176,11 @@
     }
 }
 
-/// The policy under which a scheduler places tasks at `cell` executors, and at one more when they are full.
-fn policy(cell: u32) -> Policy {
+/// The policy of a plan. In cells a scheduler places tasks at one executor more when they are full.
+fn policy(plan: &RunPlan) -> Policy {
+    let cell = plan.cell;
     let mut policy = Policy::default();
+    policy.balance.on = plan.balance;
     if cell > 0 {
         policy.cells.size = cell;
         policy.cells.lent = 1;
--- a/lib/testutils/tests/runner/test_dispatch_load.rs
+++ b/lib/testutils/tests/runner/test_dispatch_load.rs
@@ -14,6 +14,7 @@
         span: Duration::from_secs(8),
         schedulers: 3,
         workers: 11,
+        swing: 0.0,
         late: 0.0,
         slow: 2,
         trouble: Trouble::default(),
@@ -68,3 +69,32 @@
     }
     assert!(goodput > 0.85, "{goodput} of the work in time meanwhile");
 }
+
+/// Twelve small entries in three zones, of which one takes half as many jobs again and another half as many, above the
+/// capacity: callers of one zone are not worse off than those of another once jobs are handed on.
+#[test]
+fn test_dispatch_load_zones_with_more_callers_are_not_worse_off() {
+    let spread = |on: bool| {
+        let mut policy = Policy::default();
+        policy.cells.size = 24;
+        policy.balance.on = on;
+        let reports = (1..=3).map(|seed| {
+            let report = load::run(LoadPlan {
+                seed,
+                load: 1.2,
+                span: Duration::from_secs(6),
+                schedulers: 12,
+                workers: 30,
+                slow: 0,
+                swing: 0.55,
+                ..plan(policy)
+            });
+            assert_eq!(report.violation, None, "seed {seed}");
+            report.thirds.map(|(offered, done)| done / offered)
+        });
+        let [first, _, last] = reports.fold([0.0; 3], |sum, r| [0, 1, 2].map(|n| sum[n] + r[n]));
+        (last - first) / 3.0
+    };
+    let (kept, evened) = (spread(false), spread(true));
+    assert!(evened < kept / 2.0, "{evened} apart, {kept} without");
+}
