--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -76,6 +76,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Let urgent jobs stop the runs of others; jobs are of three priorities"),
         )
+        .arg(
+            Arg::new("balance")
+                .long("balance")
+                .action(ArgAction::SetTrue)
+                .help("Let schedulers hand jobs that wait to others at which less waits"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -122,6 +128,7 @@
             recovering: matches.get_flag("recovering"),
             reborn: matches.get_flag("reborn"),
             preempting: matches.get_flag("preempting"),
+            balance: matches.get_flag("balance"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -101,6 +101,8 @@
     pub recovering: bool,
     /// Whether jobs are of several priorities, and urgent ones may stop the runs of others.
     pub preempting: bool,
+    /// Whether schedulers hand jobs that wait to others at which less waits.
+    pub balance: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -207,6 +209,7 @@
     let mut policy = Policy::default();
     policy.preemption.on = plan.preempting;
     policy.recovery.on = plan.recovering;
+    policy.balance.on = plan.balance;
     if plan.cell > 0 {
         policy.cells.size = plan.cell;
         policy.cells.lent = 1;
