--- a/lib/testutils/src/dispatch/load.rs
+++ b/lib/testutils/src/dispatch/load.rs
@@ -480,7 +480,6 @@
     if crashes && let Some(job) = world.callers.jobs.get_mut(&number) {
         job.crashing = Some(0);
     }
-    let scheduler = world.rng.random_range(0..plan.schedulers);
     let scheduler = entry(world, plan);
     let third = scheduler * 3 / plan.schedulers;
     world.hand_in(number, scheduler);
--- a/lib/testutils/tests/runner/test_crashing_tasks.rs
+++ b/lib/testutils/tests/runner/test_crashing_tasks.rs
@@ -89,6 +89,7 @@
             schedulers: 3,
             workers: 11,
             late: 0.0,
+            swing: 0.0,
             slow: 0,
             trouble: Trouble {
                 crashing: 0.1,
@@ -121,6 +122,7 @@
             schedulers: 3,
             workers: 11,
             late: 0.0,
+            swing: 0.0,
             slow: 0,
             trouble: Trouble {
                 crashing: 0.005,
--- a/lib/testutils/tests/runner/test_uneven_servers.rs
+++ b/lib/testutils/tests/runner/test_uneven_servers.rs
@@ -17,6 +17,7 @@
         schedulers: 3,
         workers: 12,
         late: 0.0,
+        swing: 0.0,
         slow: 1,
         trouble: Trouble::default(),
         uneven,
@@ -55,6 +56,7 @@
     let [off, on] = [Policy::default(), by_speed()].map(|policy| {
         let plans = (1..=SEEDS).map(|seed| LoadPlan {
             load: 0.8,
+            swing: 0.0,
             slow: 0,
             ..plan(seed, half, policy)
         });
@@ -75,6 +77,7 @@
     let [off, on] = [Policy::default(), far].map(|policy| {
         let plans = (1..=SEEDS).map(|seed| LoadPlan {
             load: 0.7,
+            swing: 0.0,
             slow: 0,
             ..plan(seed, rack, policy)
         });
