recovery: an executor names schedulers that have just linked, so that its runs stay accounted for

Cause: after the return of all machines each executor gets a link from each scheduler within half a second, and says of itself that it is not accounted for until its profile names them, 20 ms after the last one came.

Ruled out: telling the profile at once with each link; it goes to all schedulers, ten times as many bytes.

Change: `Update.newcomers` names the lease holders that the profile does not name yet; a scheduler must have met them, too.

--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -109,6 +109,7 @@
             zone,
             departed,
             accounted,
+            newcomers: self.newcomers(),
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, Box::new(body)));
@@ -206,12 +207,19 @@
         holders.map(|s| s.incarnation).collect()
     }
 
+    /// Those of them that the profile does not name yet. Without them an executor that is lost while schedulers link to
+    /// it, as all do after the return of a fleet, would have said of nobody that nothing runs for them.
+    fn newcomers(&self) -> Vec<u64> {
+        let mut holders = self.lease_holders();
+        holders.retain(|life| !self.owners.contains(life));
+        holders
+    }
+
     /// Whether all that runs at the worker is known, and runs or waits for schedulers that hold leases, as they are
     /// told: a scheduler that hears nothing more of this process then knows whose jobs may be at work here.
     fn is_accounted(&self, now: Mono) -> bool {
         let holds = |owner: &str| self.sessions.get(owner).is_some_and(|s| !s.standby);
         self.setup.policy.recovery.on
-            && self.leases_stale.is_none()
             && self.knows_all_runs(now)
             && self.runs.values().all(|r| holds(&r.scheduler))
             && self.queue.iter().all(|w| holds(&w.scheduler))
--- a/lib/src/dispatch/scheduler/executor_view.rs
+++ b/lib/src/dispatch/scheduler/executor_view.rs
@@ -74,6 +74,8 @@
     pub renewed: Option<Mono>,
     /// Whether it has said last that it knows all that runs at its worker, and for whom.
     pub accounted: bool,
+    /// Schedulers for whom things may run there and that its profile does not name yet, by incarnation.
+    pub newcomers: Vec<u64>,
     /// What a peer has said of it.
     pub hearsay: Option<Hearsay>,
     /// Whether it was logged that claims do not wait for it.
@@ -119,6 +121,7 @@
             zone_told: 0,
             renewed: None,
             accounted: false,
+            newcomers: Vec::new(),
             hearsay: None,
             silence_logged: false,
         }
@@ -156,6 +159,12 @@
         self.silence_logged = false;
     }
 
+    /// The incarnations of the schedulers for which things may run there, by its last word.
+    pub fn owners(&self) -> impl Iterator<Item = u64> + '_ {
+        let owners = self.profile.owners.iter();
+        owners.chain(&self.newcomers).copied()
+    }
+
     /// Whether tasks of a service may be placed there now.
     pub fn takes(&self, now: Mono, service: &str) -> bool {
         self.link.is_some()
--- a/lib/src/dispatch/scheduler/fleet.rs
+++ b/lib/src/dispatch/scheduler/fleet.rs
@@ -116,6 +116,7 @@
         executor.departed = update.departed;
         // One on standby is heard seldom: what it said last may be old.
         executor.accounted = update.accounted && !executor.standby;
+        executor.newcomers = update.newcomers;
         if let Some(profile) = update.profile {
             executor.capacity = Demand::from_proto(profile.capacity);
             self.leases.add(&profile.leased);
--- a/lib/src/dispatch/scheduler/silent.rs
+++ b/lib/src/dispatch/scheduler/silent.rs
@@ -29,7 +29,7 @@
         }
         let recent = |h: &Hearsay| self.now.since(h.at) < self.setup.policy.recovery.silent;
         let hearsay = executor.hearsay.as_ref().filter(|h| recent(h));
-        executor.link.is_none() && hearsay.is_some_and(|h| self.have_met(&h.owners))
+        executor.link.is_none() && hearsay.is_some_and(|h| self.have_met(h.owners.iter().copied()))
     }
 
     /// The same, by what it has said here.
@@ -39,14 +39,14 @@
         policy.on
             && executor.accounted
             && self.silence(heard) >= policy.silent
-            && self.have_met(&executor.profile.owners)
+            && self.have_met(executor.owners())
     }
 
     /// Whether these lives of schedulers are linked here and have said which jobs they have.
-    fn have_met(&self, lives: &[u64]) -> bool {
+    fn have_met(&self, mut lives: impl Iterator<Item = u64>) -> bool {
         let own = self.setup.incarnation;
-        let met = |life: &u64| self.peers.values().any(|p| p.is_met_in(*life));
-        lives.iter().all(|life| *life == own || met(life))
+        let met = |life: u64| self.peers.values().any(|p| p.is_met_in(life));
+        lives.all(|life| life == own || met(life))
     }
 
     /// Logs executors that claims no longer wait for.
@@ -74,7 +74,7 @@
         let silent = silent.filter(|e| self.is_accounted_here(e));
         let told = silent.map(|e| proto::SilentExecutor {
             name: e.name.clone(),
-            owners: e.profile.owners.clone(),
+            owners: e.owners().collect(),
         });
         told.collect()
     }
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -316,9 +316,13 @@
     /// The sender leaves: nothing runs at its worker, and it starts nothing more.
     #[prost(bool, tag = "12")]
     pub departed: bool,
-    /// All that runs at its worker is known to the sender, and runs for `Profile.owners` as it was last told.
+    /// All that runs at its worker is known to the sender, and runs for `Profile.owners` as it was last told, or for
+    /// `newcomers`.
     #[prost(bool, tag = "13")]
     pub accounted: bool,
+    /// The incarnations of schedulers that hold leases and that the profile does not name yet.
+    #[prost(fixed64, repeated, tag = "14")]
+    pub newcomers: ::prost::alloc::vec::Vec<u64>,
 }
 /// What changes seldom of an executor and its worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_scheduler/returning.rs
+++ b/lib/tests/runner/test_scheduler/returning.rs
@@ -181,6 +181,19 @@
     assert_eq!(bench.starts(), []);
 }
 
+#[test]
+fn test_scheduler_waits_for_a_silent_executor_to_which_somebody_it_has_not_met_had_linked() {
+    let mut bench = with_silent_executor(true, vec![1, PEER_LIFE]);
+    let update = proto::Update {
+        accounted: true,
+        newcomers: vec![STRANGER],
+        ..proto::Update::default()
+    };
+    bench.update_on(OTHER_EXECUTOR, update);
+    pass_heard(&mut bench, 800, &[]);
+    assert_eq!(bench.starts(), []);
+}
+
 #[test]
 fn test_scheduler_waits_for_a_silent_executor_that_ran_for_a_peer_that_is_lost() {
     let mut bench = with_silent_executor(true, vec![1, PEER_LIFE]);
