--- a/lib/src/dispatch/policy/contention.rs
+++ b/lib/src/dispatch/policy/contention.rs
@@ -17,13 +17,13 @@
         on: switch = false, ();
         /// What peers told of their backlogs counts for so long. Three and a half heartbeats.
         told_age: ms = 350, 1..=60_000;
-        /// A job is refused as it comes if it would wait this many times as long as it can. A forecast is off by a third where the times of tasks are.
+        /// A job is refused as it comes if it would wait this many times as long as it can. Forecasts are rough, and a job that is refused wrongly is lost to its caller.
         refuse_margin: ratio = 1.5, 1.0..=100.0;
         /// And so long beyond that: what was told may be older than a heartbeat.
         refuse_after: ms = 20, 0..=60_000;
-        /// A kind of jobs goes before more urgent ones while less of it is served than this part of what is served of all others. Callers of wide and patient jobs are promised half.
+        /// A kind of jobs goes before more urgent ones while less of it is served than this part of what is served of all others. Without it wide and patient jobs would get nothing while urgent ones fill all room.
         least_served: ratio = 0.5, 0.0..=1.0;
-        /// What became of jobs counts for about so long in that. A few bursts of a second.
+        /// What became of jobs counts for about so long in that: longer than a burst, so that one kind does not pay for all of it.
         share_memory: ms = 4000, 100..=600_000;
         /// Others go past a job that does not fit until this share of the time that it can wait has passed.
         pass_share: ratio = 0.5, 0.0..=1.0;
--- a/lib/src/dispatch/policy/recovery.rs
+++ b/lib/src/dispatch/policy/recovery.rs
@@ -15,9 +15,9 @@
     Recovery ("recovery") {
         /// Whether entries that have just started serve jobs before they have met every executor.
         on: switch = false, ();
-        /// One that the store has not told which executors there are asks a peer to read it this long after its start. A reading takes some milliseconds.
+        /// One that the store has not told which executors there are asks a peer to read it this long after its start. Before that its own reading may still come.
         roster_first: ms = 50, 0..=60_000;
-        /// It asks another peer after this long. A peer looks every 150 ms whether somebody asks.
+        /// It asks another peer after this long. A peer needs part of that to notice the question.
         roster_again: ms = 300, 10..=60_000;
         /// An executor that is not heard for so long is not waited for if it is known for whom it may run something. Two and a half heartbeats.
         silent: ms = 250, 10..=60_000;
--- a/lib/src/dispatch/policy/speeds.rs
+++ b/lib/src/dispatch/policy/speeds.rs
@@ -17,11 +17,11 @@
         on: switch = false, ();
         /// How many times as long a task takes at a worker that is not in the rack of its data; 1 if that makes no difference.
         far_factor: ratio = 1.0, 1.0..=100.0;
-        /// A worker's slowness is the mean over about so many runs. Single expected times are off by 40 %, the mean of 32 by 7 %.
+        /// A worker's slowness is the mean over about so many runs. Expected times are rough; their mean over some tens of runs is not.
         readings: count = 32, 1..=10_000;
         /// A worker's speed has changed for good if its runs go on to differ by more than this factor. Well above what the mean of some tens of runs is off by.
         change: ratio = 1.3, 1.01..=10.0;
-        /// How far runs must differ beyond `change` in sum, as a natural logarithm, before that is believed. A halved speed is seen after a dozen runs, and chance does the same once in thousands.
+        /// How far runs must differ beyond `change` in sum, as a natural logarithm, before that is believed. Higher values notice a change later, lower ones take chance for one.
         proof: ratio = 2.5, 0.1..=100.0;
         /// In a new life of a worker what it was before counts as so many runs.
         prior_runs: count = 4, 0..=10_000;
