recovery: a peer that links hears of jobs that have just ended, and what peers tell of a silent executor adds up

Cause (found in review, by reading): a job whose stop has not reached its executor was no longer named to a peer that linked after its end, so the peer could take it for one that nobody has had, and begin it while it still ran at the executor that both hear no more. And the peer that spoke last of a silent executor replaced what others had told, so a scheduler that had linked to it later could drop out of the list.

Ruled out: waiting for all silent executors again; that is the loss that this part mends.

Change: with `recovery.on` the first message on a link also names the jobs that began here and ended within the lapse; what peers tell of an executor is united while it is recent. A run that was preempted is not counted as handed back unrun.

--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -411,6 +411,8 @@
             EndKind::Lost => self.counts.lost += 1,
             EndKind::Crashed => self.counts.crashed += 1,
             EndKind::Stalled => self.counts.stalled += 1,
+            // It has run, and is counted by itself.
+            EndKind::Preempted => {}
             _ => self.counts.returned += 1,
         }
         self.tell_end(now, task, &run, kind, checkpoint);
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use super::Action;
+use super::Ended;
 use super::LinkEnd;
 use super::Scheduler;
 use super::members::Told;
@@ -198,7 +199,7 @@
 
     fn peer_up(&mut self, link: LinkId, greeting: &proto::Greeting) {
         let now = self.now;
-        let jobs = self.jobs.keys().map(|j| j.0).collect();
+        let jobs = self.jobs_to_name();
         let executors = self.linked_executors();
         let confined = self.confined_queues();
         let end = LinkEnd::Peer(greeting.name.clone());
@@ -240,6 +241,19 @@
         self.add_members(now, vec![member]);
     }
 
+    /// The jobs that a peer is told of as its link comes up: those that are held, and those that have ended here while a
+    /// stop may not have reached every executor. A peer that waits for no silent executor must know of these.
+    fn jobs_to_name(&self) -> Vec<u64> {
+        let held = self.jobs.keys();
+        let on = self.setup.policy.recovery.on;
+        let lapse = self.setup.lapse;
+        let lasts = |e: &Ended| on && e.began && self.now.since(e.at) < lapse;
+        let ended = self.ended.iter().filter(|(_, e)| lasts(e));
+        held.chain(ended.map(|(number, _)| number))
+            .map(|number| number.0)
+            .collect()
+    }
+
     fn peer_link_down(&mut self, name: &str, link: LinkId) {
         let Some(peer) = self.peers.get_mut(name) else {
             return;
--- a/lib/src/dispatch/scheduler/silent.rs
+++ b/lib/src/dispatch/scheduler/silent.rs
@@ -2,8 +2,8 @@
 //!
 //! A scheduler that has just started claims each job at all executors, and an executor that is lost meanwhile never
 //! confirms. An executor says with each report whether it knows all that runs at its worker, and for which schedulers.
-//! Where all of these are linked here and have named their jobs, a job that none of them has can't run there: it need
-//! not be waited for. A scheduler that has never met the executor hears from its peers what it last said to them.
+//! Where all of these are linked here and have named their jobs, also those that they have ended lately, a job that none
+//! of them has named can't run there: it need not be waited for. A scheduler that has never met the executor hears from its peers what it last said to them.
 
 use super::Scheduler;
 use super::executor_view::ExecutorView;
@@ -85,9 +85,17 @@
             return;
         }
         self.hear_of_executors(std::slice::from_ref(&silent.name));
-        let (at, owners) = (self.now, silent.owners);
-        if let Some(key) = self.named.get(&silent.name) {
-            self.executors[*key].hearsay = Some(Hearsay { at, owners });
-        }
+        let (now, recent) = (self.now, self.setup.policy.recovery.silent);
+        let Some(key) = self.named.get(&silent.name) else {
+            return;
+        };
+        let hearsay = &mut self.executors[*key].hearsay;
+        let known = hearsay.take().filter(|h| now.since(h.at) < recent);
+        let mut owners = silent.owners;
+        // Peers heard it at different times: one may not know of a scheduler that linked to it later.
+        owners.extend(known.into_iter().flat_map(|h| h.owners));
+        owners.sort_unstable();
+        owners.dedup();
+        *hearsay = Some(Hearsay { at: now, owners });
     }
 }
--- a/lib/tests/runner/test_scheduler/returning.rs
+++ b/lib/tests/runner/test_scheduler/returning.rs
@@ -220,6 +220,49 @@
     assert_eq!(bench.starts(), [(7, 0, 1)]);
 }
 
+#[test]
+fn test_scheduler_waits_if_any_peer_names_somebody_it_has_not_met() {
+    let mut bench = recovering();
+    bench.scheduler.set_roster(bench.now, names(2));
+    bench.link_life(PEER_LIFE + 1, OTHER_PEER, "s3", false);
+    bench.submit_of(1, 7, 1, 900);
+    let silent = |owners: Vec<u64>| proto::SilentExecutor {
+        name: "e2".to_owned(),
+        owners,
+    };
+    for _ in 0..20 {
+        pass_heard(&mut bench, 20, &[silent(vec![PEER_LIFE, STRANGER])]);
+        let update = proto::PeerUpdate {
+            silent: vec![silent(vec![PEER_LIFE])],
+            ..proto::PeerUpdate::default()
+        };
+        bench.peer_on(OTHER_PEER, update);
+    }
+    assert_eq!(bench.starts(), []);
+}
+
+/// The stop of a run may not have reached its executor: a peer that links just after must not take the job for one that
+/// nobody has had.
+#[test]
+fn test_scheduler_names_jobs_that_it_has_just_ended_to_a_peer_that_links() {
+    let named = |ago: u64| {
+        let mut bench = recovering();
+        bench.scheduler.set_roster(bench.now, names(1));
+        bench.submit_of(1, 7, 1, 900);
+        pass_heard(&mut bench, 200, &[]);
+        assert_eq!(bench.starts(), [(7, 0, 1)]);
+        bench
+            .scheduler
+            .caller_left(bench.now, CallerId(1), JobNumber(7));
+        pass_heard(&mut bench, ago, &[]);
+        bench.link_life(PEER_LIFE + 1, OTHER_PEER, "s3", false);
+        bench.pass(20);
+        sent_on(&bench, OTHER_PEER)[0].jobs.contains(&7)
+    };
+    assert!(named(20));
+    assert!(!named(2000), "nothing of it can run any more");
+}
+
 #[test]
 fn test_scheduler_forgets_what_a_peer_does_not_say_any_more() {
     let mut bench = recovering();
