contention: what peers tell can't overflow a sum

Cause (found in review): sums of rows that come from other processes were plain additions, and builds check overflows. Change: they saturate.

--- a/lib/src/dispatch/contention/backlog.rs
+++ b/lib/src/dispatch/contention/backlog.rs
@@ -61,17 +61,17 @@
 
     /// The room that all of it needs, in thousandths of a core.
     pub fn cpu_milli(&self) -> u64 {
-        self.rows.values().map(|w| w.cpu_milli).sum()
+        self.up_to(u32::MAX)
     }
 
     /// The room that work more urgent than a priority needs.
     pub fn before(&self, priority: u32) -> u64 {
-        self.rows.range(..priority).map(|(_, w)| w.cpu_milli).sum()
+        sum(self.rows.range(..priority))
     }
 
     /// The room that work as urgent as a priority, or more so, needs.
     pub fn up_to(&self, priority: u32) -> u64 {
-        self.rows.range(..=priority).map(|(_, w)| w.cpu_milli).sum()
+        sum(self.rows.range(..=priority))
     }
 
     /// As it travels. What is beyond the bound is told as the least urgent, so that nobody holds it to be ahead of
@@ -190,3 +190,8 @@
         left
     }
 }
+
+/// The room that rows need together. It comes from other processes, so it must not overflow.
+fn sum<'a>(rows: impl Iterator<Item = (&'a u32, &'a Waiting)>) -> u64 {
+    rows.fold(0, |sum, (_, w)| sum.saturating_add(w.cpu_milli))
+}
