--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -228,7 +228,7 @@
     ///
     /// When it does not come up within half a minute.
     pub async fn start(binary: &Path, entries: usize, agents: usize) -> Fleet {
-        Fleet::start_under(binary, entries, agents, &json!({})).await
+        Fleet::start_under(binary, entries, agents, &deployed()).await
     }
 
     /// Starts a fleet that is divided though it is small, likewise.
@@ -417,9 +417,16 @@
     format!("agent-{number}")
 }
 
-/// A policy by which a fleet of a few machines is divided.
+/// What the deploy templates switch on.
+fn deployed() -> Value {
+    json!({"recovery": {"on": true}})
+}
+
+/// The same, and a fleet of a few machines is divided.
 fn dividing() -> Value {
-    json!({"partitions": {"executors": 3, "schedulers": 2}})
+    let mut policy = deployed();
+    policy["partitions"] = json!({"executors": 3, "schedulers": 2});
+    policy
 }
 
 fn node(
