--- a/lib/src/dispatch/scheduler/handing.rs
+++ b/lib/src/dispatch/scheduler/handing.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: the entries are stopped in turn, two seconds apart, each with six seconds to end. Where a zone has few
 //! of them its callers go on connecting to one that leaves, and what it takes in its last seconds it can't finish.
-//! Refusing these jobs lost one in twenty of all that came meanwhile (386 on a day of 65 workers).
+//! Refusing these jobs would turn away callers whom another scheduler could serve.
 //!
 //! Decision: such a job is handed to a peer that stays, and followed there like one that has come again. If it ends in
 //! time, its caller has the answer from here; if not, the caller is told to come again, and finds the job at the
