platform: an ended connection is no proof that a call was never sent

Seen by callers: a task with effects can have them twice.

Cause: `http_client::call` took every `SendRequestError::Connect` for a failure before the request. The client library reports a connection that ends after the request was written as `Connect(Disconnected)`, too. The executor then ended the run without a stop and gave its capacity back.

Mended where it is decided: only errors that occur before a request is written count as not sent. The client of /v1 backend servers had excluded that error by name; both use one function now. The executor keeps a run that the worker lists, whatever the reply to its start says, and logs a start that was not sent (SC438): until now nothing told it from a refused one.

Looked at as well: stops and looks at the worker (same client, same tests), the store's client (treats both alike), links (not HTTP).

--- a/lib/daemon/src/backend.rs
+++ b/lib/daemon/src/backend.rs
@@ -6,13 +6,13 @@
 
 use awc::Client;
 use awc::Connector;
-use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use serde::de::IgnoredAny;
 use stackcourse_lib::agent::RunFailure;
 use stackcourse_lib::agent::RunTask;
 
+use crate::http_call;
 use crate::process_clock::ProcessClock;
 use crate::settings::AgentSettings;
 
@@ -102,13 +102,11 @@
     }
 }
 
-/// Classifies a failed request. If no connection could be made, nothing was sent. After any other error, a
-/// disconnection included, the request may have reached the backend server.
+/// Classifies a failed request: whether it may have reached the backend server.
 fn classify_error(error: SendRequestError) -> RunFailure {
     let reason = format!("the back end can't be called: {error}");
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => RunFailure::Failed(reason),
-        SendRequestError::Connect(_) => RunFailure::NeverSent(reason),
-        _ => RunFailure::Failed(reason),
+    match http_call::is_unsent(&error) {
+        true => RunFailure::NeverSent(reason),
+        false => RunFailure::Failed(reason),
     }
 }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -271,7 +271,7 @@
             }
             OrderReply::Refused(reason) => self.handle_start_refusal(now, name, reason),
             OrderReply::WrongLife => self.end_run(now, name.task, EndKind::Unavailable),
-            OrderReply::Unreachable => self.end_run(now, name.task, EndKind::Unavailable),
+            OrderReply::Unreachable => self.handle_unsent_start(now, name),
             // The worker has listed the run in the meantime: only the reply was lost.
             OrderReply::NoAnswer if run.state == RunState::Running => {}
             OrderReply::NoAnswer => {
@@ -284,6 +284,18 @@
         self.advance(now);
     }
 
+    /// Ends a run whose start was never sent, unless the worker lists the run.
+    fn handle_unsent_start(&mut self, now: Mono, name: RunName) {
+        let why = match self.runs[&name.task].state {
+            RunState::Starting => EndKind::Unavailable,
+            RunState::Running => return,
+            RunState::Stopping { why, .. } => why,
+        };
+        let detail = format!("{} run {}", name.task, name.run);
+        self.log(Kind::StartUnsent, detail);
+        self.end_run(now, name.task, why);
+    }
+
     /// Sends a refused start again if a higher fencing token, a higher run number or a new deadline can help;
     /// otherwise ends the run.
     fn handle_start_refusal(&mut self, now: Mono, name: RunName, reason: StartRefusal) {
--- a/lib/src/dispatch/executor/worker_api.rs
+++ b/lib/src/dispatch/executor/worker_api.rs
@@ -137,9 +137,10 @@
     Refused(StartRefusal),
     /// Another incarnation of the worker answered.
     WrongLife,
-    /// There was no answer: it may have been carried out, or may be later.
+    /// There was no answer: it may have been carried out, or may be later. The connection may have ended,
+    /// also in order.
     NoAnswer,
-    /// The worker can't be reached.
+    /// No connection to the worker could be made, so the order was never sent.
     Unreachable,
 }
 
@@ -197,8 +198,8 @@
     Fenced,
     /// Another incarnation of the worker answered.
     WrongLife,
-    /// There was no answer.
+    /// There was no answer. The connection may have ended, also in order: that tells nothing of the worker.
     NoAnswer,
-    /// The worker can't be reached.
+    /// No connection to the worker could be made.
     Unreachable,
 }
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -375,6 +375,23 @@
     assert_eq!(bench.sent_stops(), []);
 }
 
+/// The worker lists the run, whatever the reply to its start says. Ended here, the task would run twice.
+#[test]
+fn test_executor_unsent_start_of_listed_run() {
+    let mut bench = Bench::ready();
+    bench.order_start(ONE, 1, &[0, 1]);
+    bench.report_lists(&[run(1, 0, 1)], Vec::new());
+    for index in [0, 1] {
+        let unsent = OrderReply::Unreachable;
+        bench
+            .executor
+            .handle_start_reply(bench.now, run(1, index, 1), unsent);
+    }
+    bench.collect_actions();
+    assert_eq!(bench.ends(ONE), [(1, EndKind::Unavailable)]);
+    assert_eq!(bench.executor.task_counts(), (1, 0));
+}
+
 #[test]
 fn test_executor_resends_stop() {
     let mut bench = Bench::ready();
