soak: workers end connections in order, and leave orders late while cut off

Each worker is behind a fault proxy now, which ends connections in order after starts or stops, or all connections. The proxies of the entries can stall the links of single agents; the workers of agents that are cut off leave half of their orders without an answer and carry them out 2 to 12 s later. Three jobs in a hundred outlast the lease of a scheduler. The new faults are drawn apart, so a seed's other faults stay the same.

--- a/lib/testutils/src/fault_proxy.rs
+++ b/lib/testutils/src/fault_proxy.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,6 +28,9 @@
     pub delay_us: u64,
     /// Forwards nothing while connections stay open, as if they were half-open.
     pub stall: bool,
+    /// Does the same for the connections whose first data contains one of these texts, such as the name of
+    /// the process that has connected.
+    pub stall_from: Vec<String>,
     /// Closes all connections, and each new one.
     pub reset: bool,
     /// Forwards a request that contains this text, then closes the connection instead of forwarding the
@@ -34,6 +38,13 @@
     pub swallow: String,
 }
 
+impl Fault {
+    /// Returns whether a connection that began with this data is stalled.
+    fn is_stalled(&self, opening: &[u8]) -> bool {
+        self.stall || self.stall_from.iter().any(|text| contains(opening, text))
+    }
+}
+
 /// A handle to a running proxy; clones control the same proxy.
 #[derive(Clone)]
 pub struct FaultProxy {
@@ -114,14 +125,12 @@
     let (server_read, server_write) = server.into_split();
     let drop_replies = Arc::new(Mutex::new(false));
     let trigger = Some((drop_replies.clone(), swallowed));
-    let requests = forward_bytes(client_read, server_write, fault.clone(), trigger, None);
-    let replies = forward_bytes(
-        server_read,
-        client_write,
-        fault.clone(),
-        None,
-        Some(drop_replies),
-    );
+    let state = ConnectionState {
+        fault: fault.clone(),
+        opening: Opening::default(),
+    };
+    let requests = forward_bytes(client_read, server_write, state.clone(), trigger, None);
+    let replies = forward_bytes(server_read, client_write, state, None, Some(drop_replies));
     let mut changes = fault.subscribe();
     tokio::select! {
         () = requests => {}
@@ -132,6 +141,15 @@
 
 /// Set once the replies on a connection are to be dropped.
 type DropFlag = Arc<Mutex<bool>>;
+/// The first data on a connection, from either side.
+type Opening = Arc<OnceLock<Vec<u8>>>;
+
+/// What both directions of a connection share.
+#[derive(Clone)]
+struct ConnectionState {
+    fault: Arc<watch::Sender<Fault>>,
+    opening: Opening,
+}
 
 /// Forwards data in one direction. The delay of each chunk counts from its arrival, so that it does not limit
 /// the throughput. A chunk that matches [`Fault::swallow`] sets the flag in `dooms` and increments its
@@ -139,12 +157,12 @@
 async fn forward_bytes(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
-    fault: Arc<watch::Sender<Fault>>,
+    state: ConnectionState,
     trigger: Option<(DropFlag, Arc<Mutex<u64>>)>,
     drop_replies: Option<DropFlag>,
 ) {
     let (sender, mut receiver) = tokio::sync::mpsc::channel(1_024);
-    let mut current = fault.subscribe();
+    let mut current = state.fault.subscribe();
     let read = async move {
         let mut buffer = vec![0; 64 * 1024];
         while let Ok(n) = from.read(&mut buffer).await {
@@ -159,7 +177,8 @@
     };
     let write = async move {
         while let Some((at, chunk)) = receiver.recv().await {
-            let _ = current.wait_for(|f| !f.stall).await;
+            let opening = state.opening.get_or_init(|| chunk.clone());
+            let _ = current.wait_for(|f| !f.is_stalled(opening)).await;
             let now = current.borrow().clone();
             if now.delay_us > 0 {
                 sleep_until(at + Duration::from_micros(now.delay_us)).await;
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -25,6 +25,7 @@
 use stackcourse_lib::dispatch::partition::Partitions;
 use stackcourse_lib::dispatch::policy::Policy;
 
+use crate::fault_proxy::Fault;
 use crate::fault_proxy::FaultProxy;
 use crate::platform::callers;
 use crate::platform::callers::HOST;
@@ -42,6 +43,7 @@
 const READY_PORT: u16 = 8167;
 const HEARTBEAT_PORT: u16 = 8166;
 const WORKER_PORT: u16 = 8165;
+const WORKER_PROXY_PORT: u16 = 8175;
 const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 8169;
 /// The number of the first entry among a fleet's machines; the store's is 0.
@@ -168,6 +170,8 @@
     pub proxies: Vec<FaultProxy>,
     /// The machines of the agents.
     pub agents: Vec<Machine>,
+    /// The fault proxies in front of the workers, one beside each agent.
+    pub worker_proxies: Vec<FaultProxy>,
     /// The assignment of entries, agents and jobs to partitions.
     pub partitions: Partitions,
     dir: PathBuf,
@@ -268,6 +272,7 @@
             entries: Vec::new(),
             proxies: Vec::new(),
             agents: Vec::new(),
+            worker_proxies: Vec::new(),
             partitions,
             dir,
             _stand_ins: Vec::new(),
@@ -291,11 +296,13 @@
             let at = ip(FIRST_AGENT + number);
             let heartbeats = SocketAddr::from((at, HEARTBEAT_PORT));
             let worker = SocketAddr::from((at, WORKER_PORT));
+            let proxy = SocketAddr::from((at, WORKER_PROXY_PORT));
             stand_ins.push(workers::start(worker, heartbeats, shared.clone(), number));
+            fleet.worker_proxies.push(FaultProxy::start(proxy, worker));
             let settings = json!({
                 "node": node(&agent_name(number), zone_of(number), at, store_address, None, policy),
                 "beats": heartbeats,
-                "worker": worker,
+                "worker": proxy,
                 "hold_ms": 1000,
             });
             let machine = fleet.machine(binary, "agent", number, at, &settings);
@@ -348,6 +355,17 @@
         }
     }
 
+    /// Cuts agents off from all entries, or from none: their links carry nothing and stay open.
+    pub fn cut_off(&self, agents: &[usize]) {
+        let fault = Fault {
+            stall_from: agents.iter().map(|n| greeting_text(*n)).collect(),
+            ..Fault::default()
+        };
+        for proxy in &self.proxies {
+            proxy.set(fault.clone());
+        }
+    }
+
     /// Counts the agents in an entry's partition.
     fn agents_in_partition_of(&self, entry: usize) -> usize {
         let own = self.partitions.of_name(&entry_name(entry));
@@ -425,6 +443,12 @@
     format!("agent-{number}")
 }
 
+/// Returns what the greeting of an agent contains and that of no other: its name after its length.
+fn greeting_text(agent: usize) -> String {
+    let name = agent_name(agent);
+    format!("{}{name}", char::from(name.len() as u8))
+}
+
 /// Returns the policy fields that the templates under `deploy/` switch on.
 fn default_policy() -> Value {
     json!({"recovery": {"on": true}})
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -112,6 +112,14 @@
 
 /// The probability of a change by the operator after each job.
 const CHANGE_PROBABILITY: f64 = 0.02;
+/// The probability of a fault between an agent and its worker after each job.
+const WORKER_FAULT_PROBABILITY: f64 = 0.02;
+/// The share of the orders that are late while an agent is cut off.
+const LATE_SHARE: f64 = 0.5;
+/// The share of jobs whose tasks outlast the lease of a scheduler that is cut off.
+const LONG_SHARE: f64 = 0.03;
+/// The time that each task of such a job works, in milliseconds.
+const LONG_WORK_MS: u32 = 2500;
 /// The share of jobs that crash workers.
 const CRASHING_SHARE: f64 = 0.02;
 /// The probability that all workers crash as well when all entries and agents are killed.
@@ -130,6 +138,8 @@
     changes: ChaCha8Rng,
     /// Draws which jobs crash workers, and whether workers crash with all other machines; separate likewise.
     crashes: ChaCha8Rng,
+    /// Draws the faults between agents and their workers; separate likewise.
+    worker_faults: ChaCha8Rng,
     fleet: Fleet,
     completed: Rc<Cell<u64>>,
     started_at: Instant,
@@ -151,6 +161,7 @@
         rng: ChaCha8Rng::seed_from_u64(plan.seed),
         changes: ChaCha8Rng::seed_from_u64(!plan.seed),
         crashes: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32)),
+        worker_faults: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(16)),
         fleet,
         completed: Rc::new(Cell::new(0)),
         started_at: Instant::now(),
@@ -193,6 +204,9 @@
                 let after = Duration::from_millis(self.rng.random_range(100..2500));
                 self.pending_repairs.push((Instant::now() + after, repair));
             }
+            if self.worker_faults.random_bool(WORKER_FAULT_PROBABILITY) {
+                self.inject_worker_fault();
+            }
             if self.changes.random_bool(CHANGE_PROBABILITY) {
                 self.make_change();
             }
@@ -246,14 +260,24 @@
         if crashing {
             self.record(format!("job {:016x} crashes workers", self.jobs));
         }
-        let number = JobNumber(self.jobs);
-        spawn_caller(
-            &mut self.rng,
-            &self.fleet,
-            &self.completed,
-            number,
+        let job = self.draw_job(crashing);
+        spawn_caller(&mut self.rng, &self.fleet, &self.completed, job);
+    }
+
+    /// Draws the next job.
+    fn draw_job(&mut self, crashing: bool) -> CallerJob {
+        let drawn = CallerJob {
+            number: JobNumber(self.jobs),
             crashing,
-        );
+            tasks: self.rng.random_range(1..6),
+            work_ms: [20, 80, 600][self.rng.random_range(0..3)],
+            cpu: self.rng.random_range(500..1500),
+        };
+        if self.worker_faults.random_bool(LONG_SHARE) {
+            let work_ms = LONG_WORK_MS;
+            return CallerJob { work_ms, ..drawn };
+        }
+        drawn
     }
 
     /// Evacuates the zone as the operator, or ends its evacuation.
@@ -316,20 +340,7 @@
     }
 }
 
-fn spawn_caller(
-    rng: &mut ChaCha8Rng,
-    fleet: &Fleet,
-    completed: &Rc<Cell<u64>>,
-    number: JobNumber,
-    crashing: bool,
-) {
-    let job = CallerJob {
-        number,
-        crashing,
-        tasks: rng.random_range(1..6),
-        work_ms: [20, 80, 600][rng.random_range(0..3)],
-        cpu: rng.random_range(500..1500),
-    };
+fn spawn_caller(rng: &mut ChaCha8Rng, fleet: &Fleet, completed: &Rc<Cell<u64>>, job: CallerJob) {
     let entries = fleet.entries.len();
     let first_entry = fleet.entries[rng.random_range(0..entries)].callers();
     let second_entry = fleet.entries[rng.random_range(0..entries)].callers();
@@ -365,6 +376,8 @@
     ContinueAgent(usize),
     ClearProxyFault(usize),
     ClearStoreFault,
+    ClearWorkerProxyFault(usize),
+    Reconnect(usize),
     NotNeeded,
 }
 
@@ -392,10 +405,54 @@
             Repair::ContinueAgent(n) => fleet.agents[n].signal(Signal::SIGCONT),
             Repair::ClearProxyFault(n) => fleet.proxies[n].set(Fault::default()),
             Repair::ClearStoreFault => fleet.store.set_faults(StoreFaults::Off),
+            Repair::ClearWorkerProxyFault(n) => fleet.worker_proxies[n].set(Fault::default()),
+            Repair::Reconnect(n) => {
+                fleet.cut_off(&[]);
+                fleet.workers.lock().unwrap().late_shares[n] = 0.0;
+            }
             Repair::NotNeeded => {}
         }
     }
 
+    /// Injects a random fault between an agent and its worker and schedules its end: connections end in order
+    /// after an order was carried out, all of them end, or the agent is cut off from the entries while orders
+    /// to its worker are late.
+    fn inject_worker_fault(&mut self) {
+        self.faults += 1;
+        let agent = self.worker_faults.random_range(0..self.fleet.agents.len());
+        let kind = self.worker_faults.random_range(0..4);
+        let swallowed = ["/-/run-start", "/-/run-stop"].get(kind);
+        let (description, repair) = match (swallowed, kind) {
+            (Some(path), _) => {
+                let fault = Fault {
+                    swallow: (*path).to_owned(),
+                    ..Fault::default()
+                };
+                self.fleet.worker_proxies[agent].set(fault);
+                let text = format!("worker {agent} ends connections after {path}");
+                (text, Repair::ClearWorkerProxyFault(agent))
+            }
+            (None, 2) => {
+                let fault = Fault {
+                    reset: true,
+                    ..Fault::default()
+                };
+                self.fleet.worker_proxies[agent].set(fault);
+                let text = format!("worker {agent} ends all connections");
+                (text, Repair::ClearWorkerProxyFault(agent))
+            }
+            _ => {
+                self.fleet.cut_off(&[agent]);
+                self.fleet.workers.lock().unwrap().late_shares[agent] = LATE_SHARE;
+                let text = format!("agent {agent} cut off, orders to its worker late");
+                (text, Repair::Reconnect(agent))
+            }
+        };
+        self.record(description);
+        let span = Duration::from_millis(self.worker_faults.random_range(100..2500));
+        self.pending_repairs.push((Instant::now() + span, repair));
+    }
+
     fn inject_random_fault(&mut self) -> Repair {
         let entry = self.rng.random_range(0..self.fleet.entries.len());
         let agent = self.rng.random_range(0..self.fleet.agents.len());
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -12,6 +12,9 @@
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use actix_web::web;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
 use stackcourse_lib::dispatch::executor::HoldCall;
@@ -44,6 +47,8 @@
 const BORN_BASE_MS: u64 = 1_780_000_000_000;
 /// The interval between two heartbeats of a worker.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// After what time a late order is carried out, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
 /// How often a pending hold call checks for new ends.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -61,6 +66,10 @@
     pub starts: Vec<u64>,
     /// Since when each worker's zone is evacuated, in microseconds; `None` if it is not.
     pub evacuated_since: Vec<Option<u64>>,
+    /// The share of the orders to each worker that get no answer and are carried out late.
+    pub late_shares: Vec<f64>,
+    /// Draws which orders are late.
+    rng: ChaCha8Rng,
     /// Runs that will crash their worker: the time, the worker's number and the run.
     pending_crashes: Vec<(u64, usize, RunName)>,
     started_at: Instant,
@@ -80,6 +89,8 @@
             crashes: 0,
             starts: vec![0; count],
             evacuated_since: vec![None; count],
+            late_shares: vec![0.0; count],
+            rng: ChaCha8Rng::seed_from_u64(0),
             pending_crashes: Vec::new(),
             started_at: Instant::now(),
             incarnations: 0,
@@ -176,6 +187,30 @@
         now
     }
 
+    /// Draws whether an order to a worker is carried out late, and after what time.
+    fn draw_delay(&mut self, number: usize) -> Option<Duration> {
+        let late = self.rng.random_bool(self.late_shares[number]);
+        late.then(|| Duration::from_millis(self.rng.random_range(LATE_MS)))
+    }
+
+    /// Carries out an order to a worker.
+    fn carry_out(&mut self, number: usize, order: &Order) -> OrderReply {
+        match order {
+            Order::Start(call) => self.start_run(number, call),
+            Order::Stop(id, run, fence) => {
+                let now = self.advance();
+                self.models[number].stop(now, id, *run, *fence)
+            }
+        }
+    }
+
+    /// Carries out an order that comes late. It does not reach a later incarnation of the worker.
+    fn carry_out_late(&mut self, number: usize, born: Option<u64>, order: &Order) {
+        if self.models[number].life.born == born {
+            self.carry_out(number, order);
+        }
+    }
+
     /// Starts a run. The spec gives its work in milliseconds, or is [`CRASH_SPEC`].
     fn start_run(&mut self, number: usize, call: &StartCall) -> OrderReply {
         let now = self.advance();
@@ -210,12 +245,39 @@
     }
 }
 
+/// An order to a worker.
+enum Order {
+    Start(StartCall),
+    /// The id of the incarnation, the run and the fencing token.
+    Stop(String, RunName, u64),
+}
+
 #[derive(Clone)]
 struct WorkerHandle {
     workers: SharedWorkers,
     number: usize,
 }
 
+impl WorkerHandle {
+    /// Carries out an order and answers it. A late one is carried out later and never answered.
+    async fn answer_order(&self, order: Order) -> HttpResponse {
+        let delay = self.workers.lock().unwrap().draw_delay(self.number);
+        let Some(delay) = delay else {
+            let reply = self.workers.lock().unwrap().carry_out(self.number, &order);
+            return order_response(&reply);
+        };
+        let born = self.workers.lock().unwrap().models[self.number].life.born;
+        let handle = self.clone();
+        // A task of its own: this one ends when the caller closes the connection.
+        actix_rt::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let mut workers = handle.workers.lock().unwrap();
+            workers.carry_out_late(handle.number, born, &order);
+        });
+        std::future::pending().await
+    }
+}
+
 /// Starts the server of one worker, which sends its heartbeats to `heartbeat_address`.
 pub fn start(
     listen: SocketAddr,
@@ -366,12 +428,7 @@
         fence: body["fencingToken"].as_u64().unwrap_or(0),
         checkpoint: String::new(),
     };
-    let reply = handle
-        .workers
-        .lock()
-        .unwrap()
-        .start_run(handle.number, &call);
-    order_response(&reply)
+    handle.answer_order(Order::Start(call)).await
 }
 
 async fn run_stop(
@@ -381,12 +438,8 @@
 ) -> HttpResponse {
     let id = expected_id(&request, &handle);
     let fence = body["fencingToken"].as_u64().unwrap_or(0);
-    let reply = {
-        let mut workers = handle.workers.lock().unwrap();
-        let now = workers.advance();
-        workers.models[handle.number].stop(now, &id, parse_run_name(&body), fence)
-    };
-    order_response(&reply)
+    let order = Order::Stop(id, parse_run_name(&body), fence);
+    handle.answer_order(order).await
 }
 
 async fn hold(
@@ -401,6 +454,11 @@
         seen: body["lastSeen"].as_u64().unwrap_or(0),
         wait: Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0)),
     };
+    let late = handle.workers.lock().unwrap().draw_delay(handle.number);
+    if late.is_some() {
+        // The deadline of a late hold has passed when it is carried out, so it changes nothing.
+        return std::future::pending().await;
+    }
     let end = Instant::now() + call.wait;
     loop {
         let (reply, has_new_ends) = {
