executor: no run is kept alive past the end of its lease

Seen by callers: a task with effects can have them twice.

Broken: after 1,300 ms without a word a scheduler takes runs for over. That holds only if no order keeps a run alive for longer than `worker_hold` after its scheduler's lease. A renewal covers all runs of a worker, and the executor went on renewing for the others' sake while stops got no answer.

Evidence: five of seven tests in test_executor/renewals.rs red before (latest deadline 4,000 ms where 1,700 is the bound).

Why it works: while the end of a run without a lease is not known, no order names a deadline beyond the confirmed end of the lease plus `worker_hold`; deadlines are times on the worker's clock, so late orders add nothing. Stops of such runs are repeated every 20 ms, and one that is carried out ends the bound. SC439 and executor_total{kind="renewals_withheld"} tell.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -207,6 +207,7 @@
         ("stalled", counts.stalled),
         ("returned", counts.returned),
         ("leases_over", counts.expired_leases),
+        ("renewals_withheld", counts.withheld_renewals),
         ("strangers", counts.unknown_runs),
         ("ends_passed", counts.skipped_ends),
         ("heartbeats_rejected", counts.rejected_heartbeats),
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -13,6 +13,7 @@
 mod hold_replies;
 mod incarnations;
 mod preemption;
+mod renewals;
 mod reports;
 mod runs;
 mod sessions;
@@ -124,6 +125,8 @@
     pub returned: u64,
     /// Leases of schedulers that expired.
     pub expired_leases: u64,
+    /// How often renewals were withheld from the worker, so that all of its runs expired.
+    pub withheld_renewals: u64,
     /// Runs that the worker listed and this executor had not started.
     pub unknown_runs: u64,
     /// Ends of runs that are still active here, skipped because ends with higher numbers had been processed
@@ -200,6 +203,12 @@
     unreconciled_since: Mono,
     /// Until when runs may be alive due to orders already sent, without any further renewal.
     keepalive_until: Mono,
+    /// When expired leases were last looked for.
+    leases_checked: Mono,
+    /// Since when the worker lists runs that are unknown here; `None` if its last lists had none.
+    unknown_since: Option<Mono>,
+    /// Whether renewals are withheld from the worker.
+    withholding: bool,
     /// Whether the worker was found to have no runs before its first heartbeat arrived.
     verified_idle: bool,
     /// The incarnation id in the pending hold, if that hold only requests lists; an empty id names no
@@ -246,6 +255,9 @@
             speed: SpeedEstimate::new(setup.policy.speeds),
             unreconciled_since: setup.started,
             keepalive_until: Mono::default(),
+            leases_checked: Mono::default(),
+            unknown_since: None,
+            withholding: false,
             verified_idle: false,
             probing: None,
             saved_heartbeat: None,
@@ -300,7 +312,7 @@
 
     /// Handles everything that is due at this time.
     pub fn tick(&mut self, now: Mono) {
-        self.expire_leases(now);
+        self.check_leases(now);
         self.expire_claims(now);
         self.crash_memory
             .expire(now, self.setup.policy.claims.memory);
@@ -342,7 +354,7 @@
         let recent = |w: &Worker| w.last_heartbeat.is_some_and(|at| now.since(at) < age);
         let ready = |w: &Worker| w.reconciled && w.responsive && !w.heartbeat.draining && recent(w);
         let open = !self.leaving && !self.zone_record.evacuated && !self.is_incarnation_uncertain();
-        open && self.worker.as_ref().is_some_and(ready)
+        open && self.can_keep_runs(now) && self.worker.as_ref().is_some_and(ready)
     }
 
     /// Returns the id of the worker's current incarnation; empty if there is none.
@@ -365,23 +377,9 @@
         clock.map_or(0, |(ms, at)| ms + crate::clock::millis(now.since(at)))
     }
 
-    /// Returns the time on the worker's clock after `span`; 0 if the clock is unknown. An order with this
-    /// deadline keeps all runs alive until then, whether it is answered or not, so `keepalive_until` is
-    /// extended.
-    fn extend_deadline(&mut self, now: Mono, span: Duration) -> u64 {
-        match self.worker_clock(now) {
-            0 => 0,
-            clock => {
-                self.keepalive_until = self
-                    .keepalive_until
-                    .max(now + span.mul_f64(CLOCK_ALLOWANCE));
-                clock + crate::clock::millis(span)
-            }
-        }
-    }
-
     /// Sends the starts, holds and reports that are due in the current state.
     fn advance(&mut self, now: Mono) {
+        self.check_leases(now);
         self.start_queued(now);
         self.send_due_hold(now);
         self.send_due_updates(now);
--- a/lib/src/dispatch/executor/hold_replies.rs
+++ b/lib/src/dispatch/executor/hold_replies.rs
@@ -214,9 +214,11 @@
         for row in finished {
             self.apply_end(now, row);
         }
+        let unknown = running.iter().any(|row| !self.knows_run(row.run));
         for row in running {
             self.apply_running(now, row);
         }
+        self.unknown_since = unknown.then(|| self.unknown_since.unwrap_or(now));
         self.end_unlisted_runs(now, running);
         self.mark_reconciled(running);
         self.confirm_claims(now);
@@ -275,6 +277,12 @@
         }
     }
 
+    /// Returns whether a run was started by this executor and its end is not known.
+    fn knows_run(&self, name: RunName) -> bool {
+        let run = self.runs.get(&name.task);
+        run.is_some_and(|run| run.run == name.run)
+    }
+
     /// Applies a run that the worker lists as active: confirms its start and samples its progress.
     fn apply_running(&mut self, now: Mono, row: &RunningRow) {
         let known = self.runs.get_mut(&row.run.task);
--- a/lib/src/dispatch/executor/incarnations.rs
+++ b/lib/src/dispatch/executor/incarnations.rs
@@ -375,6 +375,7 @@
         self.health = Health::new(self.setup.policy.health);
         self.speed.begin_incarnation();
         self.unreconciled_since = now;
+        self.unknown_since = None;
         self.worker = Some(Worker {
             heartbeat,
             last_heartbeat,
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -53,6 +53,9 @@
     pub scheduler: String,
     /// The scheduler's number for this attempt of the task.
     pub attempt: u32,
+    /// When the lease of its scheduler ended, while the run was here; `None` during a lease. The scheduler
+    /// takes the run for over some time after that, whether it is or not.
+    pub abandoned: Option<Mono>,
     /// The run's number at the worker, at least the attempt.
     pub run: u32,
     pub state: RunState,
@@ -209,6 +212,7 @@
         let run = Run {
             scheduler: queued.scheduler,
             attempt: queued.attempt,
+            abandoned: None,
             run: queued.attempt,
             state: RunState::Starting,
             demand: queued.demand,
@@ -254,6 +258,7 @@
 
     /// Handles the reply to a start.
     pub fn handle_start_reply(&mut self, now: Mono, name: RunName, reply: OrderReply) {
+        self.check_leases(now);
         let Some(run) = self.runs.get_mut(&name.task) else {
             return;
         };
@@ -304,7 +309,7 @@
             reason,
             StartRefusal::Fence | StartRefusal::Old | StartRefusal::Late
         );
-        if retryable && !stopping && !self.is_evacuated() {
+        if retryable && !stopping && !self.is_evacuated() && self.can_keep_runs(now) {
             if reason == StartRefusal::Fence {
                 self.raise_fence();
             }
@@ -393,11 +398,16 @@
         self.advance(now);
     }
 
-    /// Sends unanswered stops again.
+    /// Sends unanswered stops again; those of abandoned runs sooner, even if the last one can still be
+    /// answered.
     pub(super) fn resend_stops(&mut self, now: Mono) {
-        let wait = self.setup.policy.orders.stop_again;
+        let stop_again = self.setup.policy.orders.stop_again;
         let mut unanswered = Vec::new();
         for (task, run) in &mut self.runs {
+            let wait = match run.abandoned {
+                Some(_) => stop_again.min(ABANDONED_STOP_AGAIN),
+                None => stop_again,
+            };
             if let RunState::Stopping {
                 sent: Some(at),
                 confirmed: None,
@@ -455,6 +465,10 @@
     }
 }
 
+/// An unanswered stop of an abandoned run is sent again after this long. Until one is answered, all runs of
+/// the worker are at risk.
+const ABANDONED_STOP_AGAIN: Duration = Duration::from_millis(20);
+
 /// How many run numbers above the attempt are tried before a start is given up.
 const MAX_RENUMBER: u32 = 16;
 
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -29,6 +29,9 @@
     pub incarnation: u64,
     pub link: Option<LinkId>,
     pub lease_until: Mono,
+    /// Until when the lease lasts by the newest clock reading that the scheduler has echoed. The scheduler
+    /// has heard nothing later for certain, so its runs are not kept alive for longer.
+    pub confirmed_until: Mono,
     /// Whether the scheduler currently places nothing here, so that it needs no lease and only rare updates.
     pub standby: bool,
     /// When the last message arrived.
@@ -60,6 +63,9 @@
     pub departure_sent: bool,
 }
 
+/// How often expired leases are looked for. The lapse of the schedulers has room for this delay.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Returns the key of a session and of its runs: the scheduler's name and incarnation.
 fn session_key(greeting: &proto::Greeting) -> String {
     format!("{}#{:x}", greeting.name, greeting.incarnation)
@@ -69,6 +75,7 @@
     /// Handles a new link from a scheduler. It ends sessions of other incarnations and replaces an older
     /// link.
     pub fn link_up(&mut self, now: Mono, link: LinkId, greeting: &proto::Greeting) {
+        self.check_leases(now);
         let owner = session_key(greeting);
         let earlier = |key: &String, s: &Session| s.name == greeting.name && *key != owner;
         let earlier = self.sessions.iter().filter(|(key, s)| earlier(key, s));
@@ -82,6 +89,7 @@
             incarnation: greeting.incarnation,
             link: None,
             lease_until,
+            confirmed_until: Mono::default(),
             standby: false,
             last_heard: now,
             ends: BTreeMap::new(),
@@ -134,6 +142,7 @@
         let name = name.clone();
         let lease_until = Mono(orders.echo_us) + self.setup.lease;
         session.lease_until = session.lease_until.max(lease_until);
+        session.confirmed_until = session.confirmed_until.max(lease_until);
         session.ends.retain(|number, _| *number > orders.seen_ends);
         if orders.sequence > 0 {
             session.sequence = orders.sequence;
@@ -153,6 +162,7 @@
             self.mark_leases_stale(now);
         }
         let fresh = now < lease_until;
+        self.readopt_runs(&name);
         if let Some(state) = &orders.zone {
             self.apply_zone_state(now, &name, state);
         }
@@ -268,16 +278,30 @@
         }
     }
 
+    /// Ends expired leases, unless this was done just now. It is done before anything is sent to the worker:
+    /// when this process wakes from a pause, what it handles first would renew the runs of expired leases.
+    pub(super) fn check_leases(&mut self, now: Mono) {
+        if now.since(self.leases_checked) >= LEASE_CHECK_INTERVAL {
+            self.expire_leases(now);
+        }
+    }
+
     /// Ends the sessions whose lease has expired and stops their runs. A standby session without runs is kept
     /// while it is heard from.
     pub(super) fn expire_leases(&mut self, now: Mono) {
+        self.leases_checked = now;
         let silence = self.setup.policy.cells.silence;
-        let runs = |owner: &str| self.runs.values().any(|r| r.scheduler == owner);
-        let idle = |owner: &str, s: &Session| {
-            s.standby && now.since(s.last_heard) < silence && !runs(owner)
+        let is_held = |r: &Run, owner: &str| r.scheduler == owner && r.abandoned.is_none();
+        let runs = |owner: &str| self.runs.values().any(|r| is_held(r, owner));
+        let expired = |owner: &str, s: &Session| {
+            if s.confirmed_until > now {
+                return false;
+            }
+            let silent = s.lease_until <= now;
+            let idle = s.standby && now.since(s.last_heard) < silence;
+            (silent && !idle) || runs(owner)
         };
-        let expired = self.sessions.iter();
-        let expired = expired.filter(|(owner, s)| s.lease_until <= now && !idle(owner, s));
+        let expired = self.sessions.iter().filter(|(owner, s)| expired(owner, s));
         let expired: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
         for name in expired {
             self.counts.expired_leases += 1;
@@ -286,22 +310,39 @@
         }
     }
 
-    /// Ends a session: closes its link, drops its queued tasks and stops its runs.
+    /// Ends a session: closes its link, drops its queued tasks, and abandons and stops its runs.
     fn end_session(&mut self, now: Mono, name: &str) {
         self.mark_leases_stale(now);
-        if let Some(session) = self.sessions.remove(name)
-            && let Some(link) = session.link
-        {
-            self.actions.push(Action::Close(link));
-        }
+        let Some(session) = self.sessions.remove(name) else {
+            return;
+        };
+        self.actions.extend(session.link.map(Action::Close));
         self.queue.retain(|w| w.scheduler != name);
-        let runs = self.runs.iter().filter(|(_, r)| r.scheduler == name);
-        let tasks: Vec<TaskName> = runs.map(|(t, _)| *t).collect();
+        let runs = self.runs.iter_mut().filter(|(_, r)| r.scheduler == name);
+        let mut tasks = Vec::new();
+        for (task, run) in runs {
+            run.abandoned.get_or_insert(session.confirmed_until);
+            tasks.push(*task);
+        }
         for task in tasks {
             self.stop_run(now, task, EndKind::Lost);
         }
     }
 
+    /// Takes back the abandoned runs of a scheduler that has linked again: it has heard from this process
+    /// since, and waits for their ends.
+    fn readopt_runs(&mut self, owner: &str) {
+        let Some(session) = self.sessions.get(owner) else {
+            return;
+        };
+        let heard = session.confirmed_until;
+        for run in self.runs.values_mut() {
+            if run.abandoned.is_some_and(|at| at < heard) && run.scheduler == owner {
+                run.abandoned = None;
+            }
+        }
+    }
+
     /// Reports to a scheduler how a run ended.
     pub(super) fn report_end(
         &mut self,
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -121,6 +121,7 @@
     Paused = 436, Warn, "this process was paused for so long that the others have dropped it; it reconnects";
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
     StartUnsent = 438, Info, "a start was not sent, since the worker accepts no connections; the task is returned";
+    RenewalsWithheld = 439, Warn, "the worker's runs are left to expire, because one that no lease covers may still be there";
     BacklogGrew = 460, Info, "work waits for free capacity";
     BacklogCleared = 461, Info, "no work waits for free capacity any more";
     WorkAhead = 462, Info, "the backlog ahead of a job that is refused or given up";
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -11,6 +11,7 @@
 mod incarnations;
 mod pace;
 mod preemption;
+mod renewals;
 mod restarts;
 mod restore;
 mod speeds;
--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -87,6 +87,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Let schedulers hand waiting jobs off to less loaded ones"),
         )
+        .arg(
+            Arg::new("isolating")
+                .long("isolating")
+                .action(ArgAction::SetTrue)
+                .help("Also cut executors off from all schedulers while orders to their workers are late"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -135,6 +141,7 @@
             reuse_ids: matches.get_flag("reborn"),
             preempting: matches.get_flag("preempting"),
             balance: matches.get_flag("balance"),
+            isolating: matches.get_flag("isolating"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -56,6 +56,14 @@
 const LEAVE_CHANCE: f64 = 0.03;
 /// The probability per step that an executor is asked to leave.
 const DEPARTURE_CHANCE: f64 = 0.03;
+/// The probability per step that an executor is cut off from all schedulers.
+const ISOLATION_CHANCE: f64 = 0.02;
+/// The share of workers' replies in place of which the connection ends, in runs with isolated executors.
+const ENDED_SHARE: f64 = 0.02;
+/// The share of jobs whose tasks outlast the leases, in runs with isolated executors.
+const LONG_SHARE: f64 = 0.2;
+/// The time that each task of such a job works, in milliseconds.
+const LONG_WORK_MS: u32 = 3_000;
 /// The probability per step that a machine is suspended.
 const SUSPENSION_CHANCE: f64 = 0.02;
 /// The probability per step that a link is duplicated or reset.
@@ -111,6 +119,9 @@
     pub preempting: bool,
     /// Whether schedulers hand waiting jobs off to peers at which less waits.
     pub balance: bool,
+    /// Whether executors are cut off from all schedulers while orders to their workers are late, and workers
+    /// end connections in order instead of answering. Some tasks outlast the leases then.
+    pub isolating: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -146,6 +157,9 @@
     if plan.reuse_ids {
         world.keep_worker_ids();
     }
+    if plan.isolating {
+        world.ended_share = ENDED_SHARE;
+    }
     let span = plan.span;
     world.run(Duration::from_millis(3500));
     let faults = world.rng.random_range(0.0..0.12);
@@ -153,7 +167,14 @@
     while world.now < end && world.witness.violation.is_none() {
         let pause = world.rng.random_range(1..90);
         world.run(Duration::from_millis(pause));
-        let number = submit_job(&mut world);
+        let number = if plan.isolating && world.rng.random_bool(LONG_SHARE) {
+            submit_long_job(&mut world)
+        } else {
+            submit_job(&mut world)
+        };
+        if plan.isolating && world.rng.random_bool(ISOLATION_CHANCE) {
+            isolate(&mut world);
+        }
         if plan.preempting && world.rng.random_bool(BURST_CHANCE) {
             submit_burst(&mut world);
         }
@@ -277,8 +298,33 @@
     }
 }
 
+/// Cuts a random executor off from all schedulers for up to two and a half seconds.
+fn isolate(world: &mut World) {
+    let (_, executors) = world.size();
+    let n = world.rng.random_range(0..executors);
+    let span = world.rng.random_range(300_000..2_500_000);
+    world.print(Node::Executor(n), &format!("isolated for {span} us"));
+    world.isolate(n, span);
+}
+
 fn submit_job(world: &mut World) -> JobNumber {
     let number = world.callers.new_job(&mut world.rng, &mut world.witness);
+    submit_anywhere(world, number)
+}
+
+/// Submits a job whose tasks outlast the leases.
+fn submit_long_job(world: &mut World) -> JobNumber {
+    let number = world.callers.new_job(&mut world.rng, &mut world.witness);
+    if let Some(job) = world.callers.jobs.get_mut(&number) {
+        job.work_us = u64::from(LONG_WORK_MS) * 1000;
+        job.request.steps[0].estimate_ms = LONG_WORK_MS;
+        job.request.patience_ms += u64::from(LONG_WORK_MS);
+    }
+    submit_anywhere(world, number)
+}
+
+/// Submits a job at a random scheduler.
+fn submit_anywhere(world: &mut World, number: JobNumber) -> JobNumber {
     let (schedulers, _) = world.size();
     let at = world.rng.random_range(0..schedulers);
     world.submit(number, at);
@@ -406,6 +452,7 @@
     }
     world.late_share = 0.0;
     world.lost_share = 0.0;
+    world.ended_share = 0.0;
     let (_, executors) = world.size();
     for number in 0..executors {
         world.replace_worker(number);
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -5,11 +5,13 @@
 //! times and stops at the first violation of an invariant.
 
 mod evacuations;
+mod isolation;
 mod links;
 mod processes;
 mod workers;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -106,6 +108,8 @@
     RestartWorker(usize),
     /// A leaving executor is checked. It is killed once it is drained or its time is up.
     CheckLeaving(usize, u64, u64),
+    /// An executor is no longer cut off.
+    Reconnect(usize),
     /// A delayed heartbeat arrives, from an incarnation of the worker that has ended.
     LateHeartbeat(usize, WorkerHeartbeat),
 }
@@ -165,6 +169,8 @@
     pub late_share: f64,
     /// The share of workers' replies that are lost.
     pub lost_share: f64,
+    /// The share of workers' replies in place of which the connection ends in order.
+    pub ended_share: f64,
     /// The factor by which a task runs longer outside its preferred rack.
     pub remote_factor: f64,
     /// The number of events that were handled.
@@ -187,6 +193,8 @@
     saved_heartbeats: Vec<Option<WorkerHeartbeat>>,
     /// The evacuated zones according to the store.
     evacuations: Evacuations,
+    /// The executors that are cut off from all schedulers while orders to their workers are late.
+    isolated: BTreeSet<usize>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     incarnations: u64,
@@ -229,6 +237,7 @@
             network: Network::default(),
             late_share: 0.0,
             lost_share: 0.0,
+            ended_share: 0.0,
             unserved_share: 0.0,
             remote_factor: 1.0,
             steps: 0,
@@ -239,6 +248,7 @@
             executors: Vec::new(),
             saved_heartbeats: vec![None; executors],
             evacuations: Evacuations::default(),
+            isolated: BTreeSet::new(),
             events: BTreeMap::new(),
             sequence: 0,
             incarnations: 0,
@@ -377,6 +387,7 @@
             Event::CrashWorker(n, incarnation, run) => self.crash_from_run(n, &incarnation, run),
             Event::RestartWorker(n) => self.restart_worker(n),
             Event::CheckLeaving(n, incarnation, until) => self.check_leaving(n, incarnation, until),
+            Event::Reconnect(n) => self.reconnect(n),
             Event::LateHeartbeat(n, heartbeat) => self.deliver_late_heartbeat(n, heartbeat),
         }
     }
@@ -461,7 +472,7 @@
                 }
                 executor::Action::Hold(call) => {
                     let wait = call.wait.as_micros() as u64;
-                    if self.rng.random_bool(self.late_share) {
+                    if self.rng.random_bool(self.late_share_of(n)) {
                         let unanswered = Event::HoldReply(n, incarnation, HoldReply::NoAnswer);
                         self.schedule(wait + HOLD_GRACE_US, unanswered);
                     } else {
--- a/lib/testutils/src/dispatch/world/links.rs
+++ b/lib/testutils/src/dispatch/world/links.rs
@@ -137,6 +137,12 @@
     /// Heals all cuts and sends the messages that they held.
     pub fn heal(&mut self) {
         self.network.cuts.clear();
+        self.send_held();
+    }
+
+    /// Sends the messages that cuts held, unless they are still cut off, and closes the links of which one
+    /// end is closed.
+    pub(super) fn send_held(&mut self) {
         let links: Vec<LinkId> = self.network.wires.keys().copied().collect();
         for link in links {
             for way in 0..2 {
--- a/lib/testutils/src/dispatch/world/workers.rs
+++ b/lib/testutils/src/dispatch/world/workers.rs
@@ -38,7 +38,7 @@
     /// Draws the delay of an order to a worker and how it reaches it.
     pub(super) fn order_delay(&mut self, n: usize) -> (u64, OrderDelivery) {
         let born = self.workers[n].life.born;
-        if self.rng.random_bool(self.late_share) {
+        if self.rng.random_bool(self.late_share_of(n)) {
             let order = OrderDelivery { late: true, born };
             (self.rng.random_range(2_000_000..12_000_000), order)
         } else {
@@ -135,9 +135,12 @@
         self.schedule(wait, Event::StopReply(n, incarnation, run, reply));
     }
 
-    /// Draws the delay of a reply. A lost reply becomes [`OrderReply::NoAnswer`].
+    /// Draws the delay of a reply. A lost reply becomes [`OrderReply::NoAnswer`], as does one in place of
+    /// which the connection ends, which is noticed at once.
     pub(super) fn reply_delay(&mut self, reply: OrderReply) -> (u64, OrderReply) {
-        if self.rng.random_bool(self.lost_share) {
+        if self.ended_share > 0.0 && self.rng.random_bool(self.ended_share) {
+            (self.rng.random_range(100..800), OrderReply::NoAnswer)
+        } else if self.rng.random_bool(self.lost_share) {
             (ORDER_TIMEOUT_US, OrderReply::NoAnswer)
         } else {
             (self.rng.random_range(100..800), reply)
