http: an answer that is cut off is no answer

Seen by callers of /v1: where the connection to a backend server ends in order within an answer that is a number, its first digits are delivered as the task's answer. Found with the tests of ended connections.

Cause: the client library takes a body for complete if the connection ends in order within it; neither a body shorter than its Content-Length nor one cut off in its chunks is an error.

A chunked body can't be checked there: a bare number without Content-Length fails its task with that reason; all other JSON shows by itself whether it is whole.

A chunked body of which `123` had come was read as `123`.

--- a/lib/daemon/src/backend.rs
+++ b/lib/daemon/src/backend.rs
@@ -7,6 +7,7 @@
 use awc::Client;
 use awc::Connector;
 use awc::error::SendRequestError;
+use awc::http::header::CONTENT_LENGTH;
 use bytes::Bytes;
 use serde::de::IgnoredAny;
 use stackcourse_lib::agent::RunFailure;
@@ -84,7 +85,8 @@
         let sent = request.send_body(task.payload).await;
         let mut response = sent.map_err(classify_error)?;
         let status = response.status();
-        let body = response.body().limit(self.answer_bytes).await;
+        let counted = response.headers().contains_key(CONTENT_LENGTH);
+        let body = http_call::read_body(&mut response, self.answer_bytes).await;
         let body =
             body.map_err(|e| RunFailure::Failed(format!("the back end's answer broke off: {e}")))?;
         if !status.is_success() {
@@ -93,14 +95,27 @@
             let reason = format!("the back end answered {status}: {text}");
             return Err(RunFailure::Failed(reason));
         }
-        match serde_json::from_slice::<IgnoredAny>(&body) {
-            Ok(_) => Ok(body),
-            Err(e) => {
-                let reason = format!("the back end's answer is not JSON: {e}");
-                Err(RunFailure::Failed(reason))
-            }
-        }
+        check_answer(&body, counted).map_err(RunFailure::Failed)?;
+        Ok(body)
+    }
+}
+
+/// Checks that an answer is JSON, and whole. `counted` tells whether the backend server has said how long the
+/// body is: otherwise a number may lack digits, since the end of the connection then ends the body.
+///
+/// # Errors
+///
+/// Returns the reason why the answer can't be used.
+pub fn check_answer(body: &[u8], counted: bool) -> Result<(), String> {
+    if let Err(e) = serde_json::from_slice::<IgnoredAny>(body) {
+        return Err(format!("the back end's answer is not JSON: {e}"));
+    }
+    let ends_in_digit = body.trim_ascii_end().last().is_some_and(u8::is_ascii_digit);
+    if ends_in_digit && !counted {
+        let reason = "the back end's answer is a number without Content-Length: it may be cut off";
+        return Err(reason.to_owned());
     }
+    Ok(())
 }
 
 /// Classifies a failed request: whether it may have reached the backend server.
--- a/lib/daemon/src/http_call.rs
+++ b/lib/daemon/src/http_call.rs
@@ -2,8 +2,13 @@
 
 use std::io::ErrorKind;
 
+use awc::ClientResponse;
 use awc::error::ConnectError;
+use awc::error::PayloadError;
 use awc::error::SendRequestError;
+use awc::http::header::CONTENT_LENGTH;
+use bytes::Bytes;
+use futures::Stream;
 
 /// What a failed call proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,3 +40,27 @@
         _ => CallFailure::MaybeSent,
     }
 }
+
+/// Reads the whole body of an answer of at most `limit` bytes.
+///
+/// The client library takes a body for complete if the connection ends in order within it. A body that is
+/// shorter than the answer says is an error here.
+///
+/// # Errors
+///
+/// Returns an error if the body is too long, can't be read, or is incomplete.
+pub async fn read_body<S>(
+    response: &mut ClientResponse<S>,
+    limit: usize,
+) -> Result<Bytes, PayloadError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+{
+    let length = response.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    let body = response.body().limit(limit).await?;
+    match length {
+        Some(length) if body.len() < length => Err(PayloadError::Incomplete(None)),
+        _ => Ok(body),
+    }
+}
