scheduler: stop what an executor holds and nobody wants

Cause: the orders to stop are lost with the links. On the new link the executor lists what it holds, but `reconcile` looked only for tasks that are placed and not held. It looks both ways now.

Evidence: test_cancel_stop_lost_with_link, red before.

--- a/lib/src/dispatch/scheduler/executors.rs
+++ b/lib/src/dispatch/scheduler/executors.rs
@@ -186,13 +186,20 @@
         }
     }
 
-    /// Treats tasks as lost that are placed at an executor but not held by it, such as those that were sent
-    /// on a link that broke. They are placed again.
+    /// Compares the tasks that are placed at an executor with those that it holds, after a link broke that may
+    /// have carried orders. Tasks that it does not hold are treated as lost and placed again; those that are
+    /// not placed there any more, whose stops were lost, are stopped.
     fn reconcile(&mut self, key: ExecutorKey, held: &proto::HeldTasks) {
         let held: Vec<(TaskName, u32)> = held.tasks.iter().map(TaskName::from_proto).collect();
         let placed = &self.executors[key].placed;
         let lost = placed.iter().map(|(t, a)| (*t, *a));
         let lost: Vec<(TaskName, u32)> = lost.filter(|t| !held.contains(t)).collect();
+        let unwanted = |(task, attempt): &&(TaskName, u32)| placed.get(task) != Some(attempt);
+        let unwanted: Vec<(TaskName, u32)> = held.iter().filter(unwanted).copied().collect();
+        for (task, attempt) in unwanted {
+            self.executors[key].orders.stops.push(task.proto(attempt));
+            self.pending.push(key);
+        }
         for (task, attempt) in lost {
             self.finish_attempt(key, task, attempt, EndKind::Lost);
         }
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod bulkheads;
 mod call_ids;
+mod cancels;
 mod catalogs;
 mod cells;
 mod claims;
