scheduler: a cancel that was answered is kept, here and at all peers

Cause: an entry passed a cancel on to the peer that had the job and forgot it, and took the job over when that peer was given up; and it took any job that had ended there for one that is over, also where its caller had only gone to another entry.

Now a cancel is kept as long as jobs are remembered (claims.memory): the job is not accepted, followed or taken over, all peers are told, also on each new link, and keep it as well. If a peer that has the job is given up, the entry that took the cancel claims the job at the executors. The memory is bounded by claims.cancels (SC484, a counter). test_link_cancel_repeated asked that a cancel be forgotten after 3 s; it asks now that it be repeated for 20 s and forgotten then.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -134,6 +134,7 @@
         ("submitted", counts.submitted),
         ("joined", counts.joined),
         ("claimed", counts.claims),
+        ("cancels_dropped", counts.dropped_cancels),
         ("placed", counts.placed),
         ("handed", counts.handoffs_sent),
         ("taken_handed", counts.handoffs_accepted),
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -10,6 +10,7 @@
 mod announcements;
 mod balance;
 mod bulkhead;
+mod cancels;
 mod catalog_sync;
 mod cell;
 mod claims;
@@ -50,13 +51,13 @@
 use crate::dispatch::scheduler::announcements::Announcements;
 use crate::dispatch::scheduler::balance::Loads;
 use crate::dispatch::scheduler::bulkhead::Bulkheads;
+use crate::dispatch::scheduler::cancels::Cancels;
 use crate::dispatch::scheduler::catalog_sync::CatalogSync;
 use crate::dispatch::scheduler::cell::Cell;
 use crate::dispatch::scheduler::contention::Contention;
 use crate::dispatch::scheduler::executor_view::ExecutorView;
 use crate::dispatch::scheduler::executors::ExecutorKey;
 use crate::dispatch::scheduler::followed_jobs::FollowedJob;
-use crate::dispatch::scheduler::followed_jobs::SentCancel;
 use crate::dispatch::scheduler::jobs::Job;
 use crate::dispatch::scheduler::leases::Leases;
 use crate::dispatch::scheduler::members::Members;
@@ -143,8 +144,8 @@
     ended: BTreeMap<JobNumber, Ended>,
     /// Jobs run by peers whose outcome callers here wait for.
     following: BTreeMap<JobNumber, FollowedJob>,
-    /// Recent cancels that were passed on to peers; repeated if a link is lost.
-    cancels_sent: Vec<SentCancel>,
+    /// Cancelled jobs, kept for `claims.memory`.
+    cancels: Cancels,
     /// When a peer reported that it no longer has a job; kept for one lapse.
     withdrawn: BTreeMap<JobNumber, Mono>,
     /// When the claims that wait were last logged.
@@ -219,7 +220,7 @@
             waiting: BTreeSet::new(),
             ended: BTreeMap::new(),
             following: BTreeMap::new(),
-            cancels_sent: Vec::new(),
+            cancels: Cancels::default(),
             withdrawn: BTreeMap::new(),
             claims_logged: Mono::default(),
             announced: Announcements::default(),
@@ -391,6 +392,7 @@
         let memory = self.setup.policy.claims.memory;
         self.ended.retain(|_, e| now.since(e.at) < memory);
         self.announced.forget_before(now - memory);
+        self.cancels.forget_before(now - memory);
         let lapse = self.setup.lapse;
         self.withdrawn.retain(|_, at| now.since(*at) < lapse);
     }
--- a/lib/src/dispatch/scheduler/followed_jobs.rs
+++ b/lib/src/dispatch/scheduler/followed_jobs.rs
@@ -9,19 +9,6 @@
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
 use crate::event::Kind;
-use crate::prelude::*;
-
-/// A cancel that was passed on is repeated for this long when a link to the peer comes up or is lost. It is
-/// longer than it takes to detect a dead link, so that no cancel is lost with one.
-const CANCEL_KEPT: Duration = Duration::from_secs(3);
-
-/// A cancel that was passed on to the peer that has the job.
-#[derive(Clone, Debug)]
-pub(super) struct SentCancel {
-    peer: String,
-    number: JobNumber,
-    at: Mono,
-}
 
 /// A job of a peer that callers here wait for.
 #[derive(Clone, Debug)]
@@ -58,32 +45,6 @@
         self.following.insert(number, following);
     }
 
-    /// Passes a cancel on to the peer that has the job; returns whether there is one.
-    pub(super) fn cancel_at_peer(&mut self, number: JobNumber) -> bool {
-        let Some(name) = self.linked_holder(number) else {
-            return false;
-        };
-        let Some(peer) = self.peers.get_mut(&name) else {
-            return false;
-        };
-        peer.outgoing.cancel.push(number.0);
-        let at = self.now;
-        self.cancels_sent.retain(|c| at.since(c.at) < CANCEL_KEPT);
-        self.cancels_sent.push(SentCancel {
-            peer: name,
-            number,
-            at,
-        });
-        true
-    }
-
-    /// Returns the recent cancels sent to a peer, which may have been lost with a link.
-    pub(super) fn cancels_to_repeat(&self, name: &str) -> Vec<u64> {
-        let recent = |c: &&SentCancel| c.peer == name && self.now.since(c.at) < CANCEL_KEPT;
-        let sent = self.cancels_sent.iter().filter(recent);
-        sent.map(|c| c.number.0).collect()
-    }
-
     /// Handles a peer's request to report the end of a job of this scheduler.
     pub(super) fn handle_follow_request(&mut self, name: &str, number: JobNumber) {
         if let Some(job) = self.jobs.get_mut(&number) {
--- a/lib/src/dispatch/scheduler/metrics.rs
+++ b/lib/src/dispatch/scheduler/metrics.rs
@@ -16,6 +16,8 @@
     pub joined: u64,
     /// Claims of jobs at the executors.
     pub claims: u64,
+    /// Cancels that were forgotten early because more were kept than allowed.
+    pub dropped_cancels: u64,
     /// Jobs handed off to peers where less work waits; those handed off while leaving are not counted.
     pub handoffs_sent: u64,
     /// Jobs that peers handed off to this scheduler, for either reason.
--- a/lib/src/dispatch/scheduler/peer_links.rs
+++ b/lib/src/dispatch/scheduler/peer_links.rs
@@ -37,7 +37,7 @@
         if earlier.is_some_and(|p| p.link.is_some() && p.incarnation != greeting.incarnation) {
             self.disconnect_peer(&greeting.name);
         }
-        let introduction = self.introduction(&greeting.name);
+        let introduction = self.introduction();
         let end = LinkEnd::Peer(greeting.name.clone());
         self.link_ends.insert(link, end);
         let peer = self.peers.entry(greeting.name.clone()).or_default();
@@ -68,9 +68,9 @@
     }
 
     /// Returns the first update on a link.
-    fn introduction(&self, name: &str) -> proto::PeerUpdate {
+    fn introduction(&self) -> proto::PeerUpdate {
         proto::PeerUpdate {
-            cancel: self.cancels_to_repeat(name),
+            cancel: self.cancels.numbers().map(|number| number.0).collect(),
             jobs: self.jobs_to_announce(),
             executors: self.linked_executors(),
             confined: self.confined_queues(),
@@ -115,7 +115,7 @@
 
     /// Repeats the first update on the link that is left, as messages on the broken one may not have arrived.
     fn repeat_introduction(&mut self, name: &str) {
-        let introduction = self.introduction(name);
+        let introduction = self.introduction();
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
@@ -180,6 +180,7 @@
         for number in orphans {
             self.take_over(number);
         }
+        self.revoke_cancelled_jobs(name);
     }
 
     /// Disconnects peers that have been silent for too long, and forgets those that have been gone for long.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -47,6 +47,8 @@
     pub version: u64,
     /// The update that is being gathered for it.
     pub outgoing: proto::PeerUpdate,
+    /// Whether a cancel is gathered for a job that it has announced.
+    pub cancels_urgently: bool,
     last_sent: Mono,
     members_sent: MemberCursor,
     /// The edition of the zone records that was last sent on this link.
@@ -58,8 +60,12 @@
     /// urgent one, or announced jobs, which go out once the minimum interval between announcements has
     /// passed.
     pub fn has_pending_update(&self) -> bool {
-        let outgoing = &self.outgoing;
-        self.link.is_some() && (self.has_urgent_update() || !outgoing.jobs.is_empty())
+        self.link.is_some() && (self.has_urgent_update() || self.has_news())
+    }
+
+    /// Returns whether jobs are gathered that were accepted here, or cancelled.
+    fn has_news(&self) -> bool {
+        !(self.outgoing.jobs.is_empty() && self.outgoing.cancel.is_empty())
     }
 
     /// Returns whether the gathered update has to be sent immediately.
@@ -67,7 +73,7 @@
         let outgoing = &self.outgoing;
         !(outgoing.follow.is_empty()
             && outgoing.ends.is_empty()
-            && outgoing.cancel.is_empty()
+            && !self.cancels_urgently
             && outgoing.catalog.is_empty()
             && outgoing.executors.is_empty()
             && outgoing.handed.is_empty()
@@ -235,7 +241,7 @@
             self.accept_handoff(name, job);
         }
         for job in update.cancel {
-            self.cancel(now, JobNumber(job));
+            self.apply_cancel(JobNumber(job), false);
         }
         for job in update.unfollow {
             self.handle_unfollow(name, JobNumber(job));
@@ -343,11 +349,12 @@
             let zones = peer.zones_sent != edition;
             let urgent = peer.has_urgent_update() || zones;
             let gap = now.since(peer.last_sent);
-            let news = !peer.outgoing.jobs.is_empty() && gap >= news_gap;
+            let news = peer.has_news() && gap >= news_gap;
             if !urgent && !news && gap < reports.heartbeat {
                 continue;
             }
             let mut update = std::mem::take(&mut peer.outgoing);
+            peer.cancels_urgently = false;
             update.catalog_version = version;
             update.members = self.members.take_unsent(&mut peer.members_sent);
             if zones {
--- a/lib/src/dispatch/scheduler/submission.rs
+++ b/lib/src/dispatch/scheduler/submission.rs
@@ -56,11 +56,13 @@
     }
 
     /// Returns the outcome of an ended job if it is final: a job that was refused or has an unknown outcome
-    /// may be submitted again.
+    /// may be submitted again, unless it was cancelled.
     pub(super) fn known_outcome(&self, number: JobNumber) -> Option<JobOutcome> {
-        let outcome = self.ended.get(&number)?.outcome;
-        let is_final = !matches!(outcome, JobOutcome::Refused(_) | JobOutcome::Unknown);
-        is_final.then_some(outcome)
+        let is_final = |o: &JobOutcome| !matches!(o, JobOutcome::Refused(_) | JobOutcome::Unknown);
+        let outcome = self.ended.get(&number).map(|e| e.outcome);
+        let cancelled = || self.cancels.contains(number);
+        let outcome = outcome.filter(is_final);
+        outcome.or_else(|| cancelled().then_some(JobOutcome::Cancelled))
     }
 
     /// Accepts a job, or rejects it. With `claim`, it may be running for another scheduler and is claimed
@@ -221,23 +223,15 @@
         }
     }
 
-    /// Cancels a job, here or at a peer; returns whether the job is known.
-    pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
-        self.advance_clock(now);
-        if self.jobs.contains_key(&number) {
-            self.end_job(number, JobOutcome::Cancelled, "cancelled");
-            self.place();
-            return true;
-        }
-        self.ended.contains_key(&number) || self.cancel_at_peer(number)
-    }
-
     /// Returns what is known of a job: its outcome if it has ended, else whether any task has begun; `None`
     /// if the job is unknown.
     pub fn job_state(&self, number: JobNumber) -> Option<Result<JobOutcome, bool>> {
         if let Some(job) = self.jobs.get(&number) {
             return Some(Err(job.began));
         }
+        if let Some(outcome) = self.known_outcome(number) {
+            return Some(Ok(outcome));
+        }
         self.ended.get(&number).map(|e| Ok(e.outcome))
     }
 
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -139,6 +139,8 @@
     ExecutorBypassed = 481, Info, "jobs do not wait for a silent executor, since it is known for which schedulers it runs tasks";
     ClaimsResolved = 482, Info, "claimed jobs no longer wait for contact with other processes";
     ClaimsPending = 483, Info, "this process has just started; claimed jobs wait for contact with other processes";
+    CancelDropped = 484, Warn, "more cancelled jobs are remembered than allowed; the oldest is forgotten";
+    JobRevoked = 485, Info, "a cancelled job may run for a peer that can't be reached; executors are told to end it";
 }
 
 /// One occurrence of an event, as it is logged.
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -257,6 +257,18 @@
         orders.collect()
     }
 
+    /// Returns the jobs that a peer was asked to cancel.
+    fn cancels(&self, link: LinkId) -> Vec<u64> {
+        let sent = self.actions.iter().filter_map(|a| match a {
+            Action::Send(to, body) if *to == link => match &**body {
+                Body::Peer(update) => Some(update.cancel.clone()),
+                _ => None,
+            },
+            _ => None,
+        });
+        sent.flatten().collect()
+    }
+
     /// Returns the job, index and attempt of each task start that was sent to an executor.
     fn starts(&self) -> Vec<(u64, u32, u32)> {
         let orders = self.orders();
--- a/lib/tests/runner/test_scheduler/links.rs
+++ b/lib/tests/runner/test_scheduler/links.rs
@@ -21,18 +21,6 @@
 }
 
 impl Bench {
-    /// Returns the jobs that a peer was asked to cancel.
-    fn cancels(&self, link: LinkId) -> Vec<u64> {
-        let sent = self.actions.iter().filter_map(|a| match a {
-            Action::Send(to, body) if *to == link => match &**body {
-                Body::Peer(update) => Some(update.cancel.clone()),
-                _ => None,
-            },
-            _ => None,
-        });
-        sent.flatten().collect()
-    }
-
     /// Returns the jobs whose ends a peer was asked to report.
     fn follows(&self, link: LinkId) -> Vec<u64> {
         let sent = self.actions.iter().filter_map(|a| match a {
@@ -161,5 +149,9 @@
     bench.advance(3_000);
     bench.link(PEER, "s2", false);
     bench.advance(20);
-    assert_eq!(bench.cancels(PEER), [7], "the cancel is no longer repeated");
+    assert_eq!(bench.cancels(PEER), [7, 7], "the job may still come back");
+    bench.advance(20_000);
+    bench.link(SECOND, "s2", false);
+    bench.advance(20);
+    assert_eq!(bench.cancels(SECOND), [7, 7], "the job is forgotten");
 }
