executor: a run kept over a restart of its worker may last as long as the worker allows

Seen by callers: a task could run at two workers.

When runs are kept over a restart, the executor counts with the worker's longest time from then on. test_executor_restarted_worker_keeps_run_longer: 1.1 s before, 2 s after.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -74,6 +74,8 @@
     /// How long the worker keeps runs alive after a renewal. Together with `lease` it must not exceed the
     /// time after which schedulers consider the runs of a silent executor ended.
     pub worker_hold: Duration,
+    /// The longest time for which the worker keeps runs alive after an order, whatever deadline it names.
+    pub max_hold: Duration,
     /// The interval of the worker's heartbeats.
     pub heartbeat: Duration,
     /// The policy settings.
--- a/lib/src/dispatch/executor/incarnations.rs
+++ b/lib/src/dispatch/executor/incarnations.rs
@@ -305,6 +305,9 @@
         };
         self.record_crash(now, &kept);
         self.end_incarnation(now, "another incarnation has registered", &kept);
+        if !kept.is_empty() {
+            self.keep_for_longest(now);
+        }
         self.adopt_worker(now, heartbeat, last_heartbeat);
     }
 
--- a/lib/src/dispatch/executor/renewals.rs
+++ b/lib/src/dispatch/executor/renewals.rs
@@ -46,6 +46,14 @@
         clock + crate::clock::millis(span)
     }
 
+    /// Assumes that the worker keeps its runs alive for as long as it ever does. The deadline of a start that
+    /// reached a later incarnation than it was sent to was a time on the clock of the earlier one, so it is
+    /// far ahead there.
+    pub(super) fn keep_for_longest(&mut self, now: Mono) {
+        let until = now + self.setup.max_hold.mul_f64(CLOCK_ALLOWANCE);
+        self.keepalive_until = self.keepalive_until.max(until);
+    }
+
     /// Counts and logs when renewals begin to be withheld, with the runs that are the reason.
     fn note_withheld(&mut self, now: Mono, withheld: bool) {
         if std::mem::replace(&mut self.withholding, withheld) || !withheld {
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -78,6 +78,7 @@
             fence: 5,
             lease: Duration::from_millis(700),
             worker_hold: Duration::from_millis(1000),
+            max_hold: Duration::from_millis(2000),
             heartbeat: Duration::from_millis(1500),
             policy,
         };
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -258,3 +258,26 @@
     });
     holds.expect("a hold")
 }
+
+/// A start that reaches the incarnation after the one that it was sent to names a time that is far ahead on
+/// the clock there, so its run is kept alive for as long as the worker ever does. If the worker falls silent
+/// then, the task must not be started elsewhere before that.
+#[test]
+fn test_executor_restarted_worker_keeps_run_longer() {
+    let mut bench = Bench::after_ends();
+    bench.order_start(ONE, 2, &[0]);
+    let done = OrderReply::Done(1);
+    bench
+        .executor
+        .handle_start_reply(bench.now, run(2, 0, 1), done);
+    bench.report_lists_from(200, &[run(2, 0, 1)], Vec::new());
+    let since = bench.now;
+    while bench.executor.task_counts().0 > 0 {
+        bench.advance(20);
+        bench.send_orders(ONE, proto::Orders::default());
+        bench.handle_hold_reply(HoldReply::NoAnswer);
+    }
+    let kept = bench.now.since(since);
+    assert!(kept >= Duration::from_millis(2000), "{kept:?}");
+    assert!(kept <= Duration::from_millis(2400), "{kept:?}");
+}
--- a/lib/testutils/src/dispatch/world/processes.rs
+++ b/lib/testutils/src/dispatch/world/processes.rs
@@ -4,6 +4,7 @@
 //! store: the roster, the catalog and saved heartbeats.
 
 use super::*;
+use crate::dispatch::worker::MAX_LEASE_US;
 
 /// The time that a process has to leave, in microseconds.
 const LEAVE_TIMEOUT_US: u64 = 1_500_000;
@@ -35,6 +36,7 @@
             fence: incarnation * 1000,
             lease: self.policy.leases.lease,
             worker_hold: self.policy.leases.worker_hold,
+            max_hold: Duration::from_micros(MAX_LEASE_US),
             heartbeat: Duration::from_micros(HEARTBEAT_US),
             policy: self.policy,
         };
