executor: a run that is being stopped may still take its worker down

Seen by callers: a task that takes down each worker that starts it is started six times, where a worker answers no start. Runs whose stop was confirmed were left out of the record of a crash, as if they could not be at the worker any more; a stop takes a while. Every run whose end is not known is counted now. test_executor_stopped_run_is_suspect was red before.

--- a/lib/src/dispatch/executor/crashes.rs
+++ b/lib/src/dispatch/executor/crashes.rs
@@ -68,17 +68,6 @@
     fn is_confirmed(&self) -> bool {
         self.listed_by != u64::MAX
     }
-
-    /// Returns whether the run may be at the worker: its start was sent, and no stop is confirmed.
-    fn can_be_at_worker(&self) -> bool {
-        !matches!(
-            self.state,
-            RunState::Stopping {
-                confirmed: Some(_),
-                ..
-            }
-        )
-    }
 }
 
 impl Executor {
@@ -95,7 +84,8 @@
             return;
         }
         let ended = self.last_alive(now);
-        let affected = |run: &Run| run.started_at <= ended && run.can_be_at_worker();
+        // One that is being stopped may work on for a while after the stop was confirmed.
+        let affected = |run: &Run| run.started_at <= ended;
         let affected = self
             .runs
             .iter()
--- a/lib/tests/runner/test_executor/crashes.rs
+++ b/lib/tests/runner/test_executor/crashes.rs
@@ -283,3 +283,27 @@
     let claimed = bench.updates(TWO).into_iter().flat_map(|u| u.claimed);
     assert_eq!(claimed.collect::<Vec<u64>>(), [1]);
 }
+
+/// A task whose start gets no answer is stopped, and can crash its worker after the stop was confirmed. Not
+/// counted, such crashes would go on for as long as the worker loses answers.
+#[test]
+fn test_executor_stopped_run_is_suspect() {
+    let mut bench = Bench::ready();
+    bench.order_start(ONE, 1, &[0]);
+    let name = run(1, 0, 1);
+    bench
+        .executor
+        .handle_start_reply(bench.now, name, OrderReply::NoAnswer);
+    bench
+        .executor
+        .handle_stop_reply(bench.now, name, OrderReply::Done(1));
+    bench.collect_actions();
+    crash_worker(&mut bench);
+    let unsure = proto::CrashRecord {
+        suspect: true,
+        unsure: 1,
+        ..proto::CrashRecord::default()
+    };
+    let expected = [(1, EndKind::Crashed, Some(unsure))];
+    assert_eq!(bench.crash_records(ONE), expected);
+}
