--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -93,6 +93,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also cut executors off from all schedulers while orders to their workers are late"),
         )
+        .arg(
+            Arg::new("cancelling")
+                .long("cancelling")
+                .action(ArgAction::SetTrue)
+                .help("Also cancel jobs, some at other schedulers than they were submitted at"),
+        )
         .arg(
             Arg::new("reborn")
                 .long("reborn")
@@ -142,6 +148,7 @@
             preempting: matches.get_flag("preempting"),
             balance: matches.get_flag("balance"),
             isolating: matches.get_flag("isolating"),
+            cancelling: matches.get_flag("cancelling"),
             suspensions,
             trace,
         });
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -64,6 +64,10 @@
 const LONG_SHARE: f64 = 0.2;
 /// The time that each task of such a job works, in milliseconds.
 const LONG_WORK_MS: u32 = 3_000;
+/// The probability per step that one of the newest jobs is cancelled.
+const CANCEL_CHANCE: f64 = 0.1;
+/// The number of newest jobs of which one is cancelled.
+const CANCEL_AMONG: u64 = 40;
 /// The probability per step that a machine is suspended.
 const SUSPENSION_CHANCE: f64 = 0.02;
 /// The probability per step that a link is duplicated or reset.
@@ -122,6 +126,8 @@
     /// Whether executors are cut off from all schedulers while orders to their workers are late, and workers
     /// end connections in order instead of answering. Some tasks outlast the leases then.
     pub isolating: bool,
+    /// Whether callers cancel jobs, some of them at other schedulers than they were submitted at.
+    pub cancelling: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
     /// Whether to print what happens.
@@ -172,6 +178,9 @@
         } else {
             submit_job(&mut world)
         };
+        if plan.cancelling && world.rng.random_bool(CANCEL_CHANCE) {
+            cancel_job(&mut world, number);
+        }
         if plan.isolating && world.rng.random_bool(ISOLATION_CHANCE) {
             isolate(&mut world);
         }
@@ -298,6 +307,15 @@
     }
 }
 
+/// Cancels a random one of the newest jobs at a random scheduler.
+fn cancel_job(world: &mut World, newest: JobNumber) {
+    let back = world.rng.random_range(0..CANCEL_AMONG);
+    let number = JobNumber(newest.0.saturating_sub(back));
+    let (schedulers, _) = world.size();
+    let at = world.rng.random_range(0..schedulers);
+    world.cancel(number, at);
+}
+
 /// Cuts a random executor off from all schedulers for up to two and a half seconds.
 fn isolate(world: &mut World) {
     let (_, executors) = world.size();
--- a/lib/testutils/src/dispatch/witness.rs
+++ b/lib/testutils/src/dispatch/witness.rs
@@ -33,6 +33,8 @@
     pub refused: u32,
     /// Whether a task of the job has started.
     pub began: bool,
+    /// When a cancel of the job was first acknowledged, in microseconds on the world's clock.
+    pub cancelled_at: Option<u64>,
 }
 
 /// A task that crashes each worker that starts it.
@@ -75,6 +77,9 @@
 /// This many starts beyond [`MAX_CRASHES`] are a violation.
 pub const EXCESS_STARTS: u32 = 3;
 
+/// A task that starts this long after its job's cancel was acknowledged is a violation, in microseconds.
+pub const CANCEL_US: u64 = 3_000_000;
+
 impl JobHistory {
     /// Records the start of a task. Returns whether the task crashes workers and has now been started too
     /// many times.
@@ -123,6 +128,27 @@
         }
     }
 
+    /// Records that a cancel of a job was acknowledged.
+    pub fn record_cancel(&mut self, number: JobNumber, now: u64) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.cancelled_at.get_or_insert(now);
+        }
+    }
+
+    /// Checks that a task that starts was not cancelled long ago.
+    pub fn check_not_cancelled(&mut self, task: TaskName, now: u64) {
+        let job = self.jobs.get(&task.job);
+        let Some(at) = job.and_then(|j| j.cancelled_at) else {
+            return;
+        };
+        if now >= at + CANCEL_US {
+            let ms = (now - at) / 1000;
+            self.report_violation(format!(
+                "{task} was started {ms} ms after its job's cancel was acknowledged"
+            ));
+        }
+    }
+
     /// Records the crash of a worker. `running` are the tasks that ran there or whose ends were not
     /// acknowledged yet.
     pub fn record_crash<'a>(&mut self, running: impl Iterator<Item = &'a TaskName>) {
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -512,6 +512,21 @@
         }
     }
 
+    /// Cancels a job at a scheduler, if it is up and runs.
+    pub fn cancel(&mut self, number: JobNumber, scheduler: usize) {
+        let node = &self.schedulers[scheduler];
+        if !node.up || node.frozen_until > self.now {
+            return;
+        }
+        let mut known = false;
+        self.with_scheduler(scheduler, |s, now| known = s.cancel(now, number));
+        if known {
+            let text = format!("cancel of {number} acknowledged");
+            self.print(Node::Scheduler(scheduler), &text);
+            self.witness.record_cancel(number, self.now);
+        }
+    }
+
     fn resubmit(&mut self, number: JobNumber) {
         let open = self.callers.jobs.get(&number);
         if !open.is_some_and(|j| !j.settled && j.submissions < 3) {
--- a/lib/testutils/src/dispatch/world/workers.rs
+++ b/lib/testutils/src/dispatch/world/workers.rs
@@ -111,6 +111,7 @@
         let capacity = self.workers[n].usable_capacity(self.now);
         self.witness
             .check_start(run.task, elsewhere, taken, capacity);
+        self.witness.check_not_cancelled(run.task, self.now);
     }
 
     pub(super) fn stop(
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -57,6 +57,40 @@
     }
 }
 
+/// Guards against runs that outlive the lease of their scheduler, because the worker leaves stops undone while
+/// the executor is cut off.
+#[test]
+fn test_dispatch_run_isolated_executors() {
+    for seed in [30156, 30181, 30186, 30281] {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            isolating: true,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
+/// Guards against jobs that are run although their cancel was acknowledged, because the scheduler that has
+/// them is lost.
+#[test]
+fn test_dispatch_run_cancels() {
+    for seed in [41001, 41028, 41035] {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            cancelling: true,
+            losses: true,
+            duplicate_links: true,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
 /// Guards against followed jobs that are not taken over because schedulers are linked twice and one link is
 /// reset.
 #[test]
