executor: assert that a start is never sent unrenewed

Read again as a newcomer: a start beyond the bound of renewals would name no deadline, and the worker could carry it out at any time; both ways to a start check the bound, and now send_start asserts it. Cancels hides its map behind own(). Behavior as before: 411 tests of the library, 19 of dispatch-run with the assertion on, none failed.

--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -242,6 +242,8 @@
     }
 
     fn send_start(&mut self, now: Mono, task: TaskName) {
+        // Without this a start would name no deadline, and could be carried out at any time.
+        debug_assert!(self.can_keep_runs(now), "{task} is started unrenewed");
         let deadline_ms = self.extend_deadline(now, self.setup.policy.orders.start_within);
         let run = &self.runs[&task];
         let call = StartCall {
--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -50,6 +50,12 @@
         self.0.keys().copied()
     }
 
+    /// Returns the jobs that callers have cancelled here.
+    fn own(&self) -> impl Iterator<Item = JobNumber> + '_ {
+        let own = self.0.iter().filter(|(_, cancel)| cancel.own);
+        own.map(|(number, _)| *number)
+    }
+
     /// Drops the cancels made at or before the given time.
     pub fn forget_before(&mut self, bound: Mono) {
         self.0.retain(|_, cancel| cancel.at > bound);
@@ -110,9 +116,8 @@
 
     /// Revokes the jobs that callers have cancelled here and that a lost peer had: it may live and run them.
     pub(super) fn revoke_cancelled_jobs(&mut self, peer: &str) {
-        let own = self.cancels.0.iter().filter(|(_, cancel)| cancel.own);
-        let held = own.filter(|(number, _)| self.announced.holders(**number).any(|h| h == peer));
-        let held: Vec<JobNumber> = held.map(|(number, _)| *number).collect();
+        let is_held = |number: &JobNumber| self.announced.holders(*number).any(|h| h == peer);
+        let held: Vec<JobNumber> = self.cancels.own().filter(is_held).collect();
         for number in held {
             self.revoke_runs(number);
         }
