world: requests, faults and actions stand in modules of their own

What moves is moved whole: calls of the state machines and what they ask for (actions), what callers send and get (requests), and processes that are killed, restarted, frozen and suspended (faults). 445 lines are left.

Ruled out: no draw or order of events differs.

--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -4,10 +4,13 @@
 //! the store and the callers around them. [`World::run`] handles the scheduled events in the order of their
 //! times and stops at the first violation of an invariant.
 
+mod actions;
 mod evacuations;
+mod faults;
 mod isolation;
 mod links;
 mod processes;
+mod requests;
 mod workers;
 
 use std::collections::BTreeMap;
@@ -406,87 +409,6 @@
         self.schedule(TICK_US, Event::Tick(node, incarnation));
     }
 
-    /// Calls a scheduler, if it is up, and carries out its actions.
-    pub fn with_scheduler(&mut self, n: usize, work: impl FnOnce(&mut Scheduler, Mono)) {
-        let node = &mut self.schedulers[n];
-        if !node.up {
-            return;
-        }
-        work(&mut node.scheduler, Mono(self.now + node.skew));
-        let actions = node.scheduler.take_actions();
-        for action in actions {
-            match action {
-                scheduler::Action::Send(link, body) => {
-                    self.check_evacuations(n, link, &body);
-                    self.send(Node::Scheduler(n), link, *body);
-                }
-                scheduler::Action::Close(link) => self.close(Node::Scheduler(n), link),
-                scheduler::Action::Answer(caller, outcome) => self.answer(caller, outcome),
-                scheduler::Action::Log(event) => self.print(Node::Scheduler(n), &event.to_string()),
-                scheduler::Action::Dial(_) => {}
-            }
-        }
-    }
-
-    /// Calls an executor, if it is up in the given incarnation, and carries out its actions.
-    fn with_executor(
-        &mut self,
-        n: usize,
-        incarnation: u64,
-        work: impl FnOnce(&mut Executor, Mono),
-    ) {
-        let node = &mut self.executors[n];
-        if !node.up || node.incarnation != incarnation {
-            return;
-        }
-        work(&mut node.executor, Mono(self.now + node.skew));
-        let actions = node.executor.take_actions();
-        for action in actions {
-            match action {
-                executor::Action::Send(link, body) => self.send(Node::Executor(n), link, *body),
-                executor::Action::Close(link) => self.close(Node::Executor(n), link),
-                executor::Action::Start(call) => {
-                    if self.executors[n].executor.is_evacuated() {
-                        let what = format!(
-                            "{:?} is started in a zone that its executor knows to be evacuated",
-                            call.run
-                        );
-                        self.witness.report_violation(what);
-                    }
-                    let (wait, order) = self.order_delay(n);
-                    if order.late {
-                        let unanswered =
-                            Event::StartReply(n, incarnation, call.run, OrderReply::NoAnswer);
-                        self.schedule(ORDER_TIMEOUT_US, unanswered);
-                    }
-                    self.schedule(wait, Event::Start(n, incarnation, call, order));
-                }
-                executor::Action::Stop(worker, run, fence) => {
-                    let (wait, order) = self.order_delay(n);
-                    if order.late {
-                        let unanswered =
-                            Event::StopReply(n, incarnation, run, OrderReply::NoAnswer);
-                        self.schedule(ORDER_TIMEOUT_US, unanswered);
-                    }
-                    self.schedule(wait, Event::Stop(n, incarnation, worker, run, fence, order));
-                }
-                executor::Action::Hold(call) => {
-                    let wait = call.wait.as_micros() as u64;
-                    if self.rng.random_bool(self.late_share_of(n)) {
-                        let unanswered = Event::HoldReply(n, incarnation, HoldReply::NoAnswer);
-                        self.schedule(wait + HOLD_GRACE_US, unanswered);
-                    } else {
-                        let until = self.now + wait;
-                        self.schedule(200, Event::Hold(n, incarnation, call, until));
-                    }
-                }
-                executor::Action::Log(event) => self.print(Node::Executor(n), &event.to_string()),
-                executor::Action::SaveHeartbeat(heartbeat) => self.saved_heartbeats[n] = heartbeat,
-                executor::Action::Dial(_) => {}
-            }
-        }
-    }
-
     /// Prints a line if tracing is on.
     pub fn print(&self, node: Node, text: &str) {
         if self.trace {
@@ -494,129 +416,6 @@
         }
     }
 
-    /// Submits a job at a scheduler.
-    pub fn submit(&mut self, number: JobNumber, scheduler: usize) {
-        let caller = self.callers.caller_for(number);
-        let Some(job) = self.callers.jobs.get_mut(&number) else {
-            return;
-        };
-        job.submissions += 1;
-        let request = job.request.clone();
-        if let Some(seen) = self.witness.jobs.get_mut(&number) {
-            seen.submissions += 1;
-        }
-        self.schedule(RESUBMIT_US, Event::Resubmit(number));
-        let node = &self.schedulers[scheduler];
-        if node.up && node.frozen_until <= self.now {
-            self.with_scheduler(scheduler, |s, now| s.submit(now, caller, request));
-        }
-    }
-
-    /// Cancels a job at a scheduler, if it is up and runs.
-    pub fn cancel(&mut self, number: JobNumber, scheduler: usize) {
-        let node = &self.schedulers[scheduler];
-        if !node.up || node.frozen_until > self.now {
-            return;
-        }
-        let mut known = false;
-        self.with_scheduler(scheduler, |s, now| known = s.cancel(now, number));
-        if known {
-            let text = format!("cancel of {number} acknowledged");
-            self.print(Node::Scheduler(scheduler), &text);
-            self.witness.record_cancel(number, self.now);
-        }
-    }
-
-    fn resubmit(&mut self, number: JobNumber) {
-        let open = self.callers.jobs.get(&number);
-        if !open.is_some_and(|j| !j.settled && j.submissions < 3) {
-            return;
-        }
-        let scheduler = self.rng.random_range(0..self.schedulers.len());
-        self.submit(number, scheduler);
-    }
-
-    fn answer(&mut self, caller: CallerId, outcome: JobOutcome) {
-        let Some(number) = self.callers.waiting.remove(&caller) else {
-            return;
-        };
-        self.witness.check_answer(number, outcome);
-        self.answers.push((self.now, number, outcome));
-        if outcome != JobOutcome::Unknown
-            && let Some(job) = self.callers.jobs.get_mut(&number)
-        {
-            job.settled = true;
-        }
-    }
-
-    /// Kills a process and restarts it after `downtime` microseconds. With `silent` its peers do not learn
-    /// before that the links are closed.
-    pub fn kill(&mut self, node: Node, silent: bool, downtime: u64) {
-        match node {
-            Node::Scheduler(n) => self.schedulers[n].up = false,
-            Node::Executor(n) => self.executors[n].up = false,
-        }
-        for link in self.network.links_of(node) {
-            if silent {
-                let wire = self.network.wires.get_mut(&link).expect("it was listed");
-                let end = wire.end(node);
-                wire.closed[end] = true;
-            } else {
-                self.close(node, link);
-            }
-        }
-        self.schedule(downtime, Event::Restart(node));
-    }
-
-    fn restart(&mut self, node: Node) {
-        for link in self.network.links_of(node) {
-            self.close(node, link);
-        }
-        // The other ends of old links learn that the process has gone.
-        let old: Vec<(LinkId, Node)> = self
-            .network
-            .wires
-            .iter()
-            .filter(|(_, w)| w.from == node || w.to == node)
-            .map(|(link, w)| (*link, w.other(node).0))
-            .collect();
-        for (link, other) in old {
-            self.schedule(500, Event::LinkClosed(link, other));
-        }
-        match node {
-            Node::Scheduler(n) => self.schedulers[n] = self.new_scheduler(n),
-            Node::Executor(n) => self.executors[n] = self.new_executor(n),
-        }
-        self.start_process(node);
-    }
-
-    /// Freezes a process for `span` microseconds.
-    pub fn freeze(&mut self, node: Node, span: u64) {
-        let until = self.now + span;
-        match node {
-            Node::Scheduler(n) => {
-                let node = &mut self.schedulers[n];
-                node.frozen_until = until;
-                node.served_since = node.served_since.map(|at| at.max(until));
-            }
-            Node::Executor(n) => self.executors[n].frozen_until = until,
-        }
-    }
-
-    /// Suspends a process with its machine for `span` microseconds. `counted` says whether its clock goes on
-    /// meanwhile.
-    pub fn suspend(&mut self, node: Node, span: u64, counted: bool) {
-        self.freeze(node, span);
-        if counted {
-            return;
-        }
-        let skew = match node {
-            Node::Scheduler(n) => &mut self.schedulers[n].skew,
-            Node::Executor(n) => &mut self.executors[n].skew,
-        };
-        *skew = skew.saturating_sub(span);
-    }
-
     /// Returns the number of runs that the current incarnations of the executors preempted.
     pub fn preempted(&self) -> u64 {
         let counts = self.executors.iter().map(|n| n.executor.counts());
