dispatch-run: cancel jobs amid faults, and let requests wait for frozen schedulers

A start that came 3.8 s after a cancel was answered took four faults at set times around it: the job comes again at an entry that is frozen and reads the request when it wakes, the one that took the cancel freezes right then, and the third has just been started. The model drew faults one by one and lost requests to frozen schedulers, so it hardly ever made that.

What counts as a violation is as before: a start more than 3 s after an acknowledgement.

--- a/lib/testutils/src/dispatch.rs
+++ b/lib/testutils/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! the workers and the callers, checks the invariants, and offers randomised runs and load runs.
 
 pub mod callers;
+mod cancel_faults;
 pub mod load;
 pub mod network;
 pub mod run;
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -9,6 +9,7 @@
 use stackcourse_lib::prelude::Duration;
 
 use crate::dispatch::callers;
+use crate::dispatch::cancel_faults;
 use crate::dispatch::network::Node;
 use crate::dispatch::world::CAPACITY;
 use crate::dispatch::world::World;
@@ -68,6 +69,8 @@
 const CANCEL_CHANCE: f64 = 0.1;
 /// The number of newest jobs of which one is cancelled.
 const CANCEL_AMONG: u64 = 40;
+/// The probability per step that a job is cancelled amid faults.
+const CANCEL_FAULTS_CHANCE: f64 = 0.01;
 /// The probability per step that a machine is suspended.
 const SUSPENSION_CHANCE: f64 = 0.02;
 /// The probability per step that a link is duplicated or reset.
@@ -126,7 +129,8 @@
     /// Whether executors are cut off from all schedulers while orders to their workers are late, and workers
     /// end connections in order instead of answering. Some tasks outlast the leases then.
     pub isolating: bool,
-    /// Whether callers cancel jobs, some of them at other schedulers than they were submitted at.
+    /// Whether callers cancel jobs, some of them at other schedulers than they were submitted at and some
+    /// amid faults. Requests wait for frozen schedulers then.
     pub cancelling: bool,
     /// Whether machines are suspended.
     pub suspensions: Suspensions,
@@ -166,6 +170,7 @@
     if plan.isolating {
         world.ended_share = ENDED_SHARE;
     }
+    world.keeps_requests = plan.cancelling;
     let span = plan.span;
     world.run(Duration::from_millis(3500));
     let faults = world.rng.random_range(0.0..0.12);
@@ -181,6 +186,10 @@
         if plan.cancelling && world.rng.random_bool(CANCEL_CHANCE) {
             cancel_job(&mut world, number);
         }
+        if plan.cancelling && world.rng.random_bool(CANCEL_FAULTS_CHANCE) {
+            let number = new_long_job(&mut world);
+            cancel_faults::plan(&mut world, number);
+        }
         if plan.isolating && world.rng.random_bool(ISOLATION_CHANCE) {
             isolate(&mut world);
         }
@@ -330,14 +339,20 @@
     submit_anywhere(world, number)
 }
 
-/// Submits a job whose tasks outlast the leases.
-fn submit_long_job(world: &mut World) -> JobNumber {
+/// Creates a job whose tasks outlast the leases.
+fn new_long_job(world: &mut World) -> JobNumber {
     let number = world.callers.new_job(&mut world.rng, &mut world.witness);
     if let Some(job) = world.callers.jobs.get_mut(&number) {
         job.work_us = u64::from(LONG_WORK_MS) * 1000;
         job.request.steps[0].estimate_ms = LONG_WORK_MS;
         job.request.patience_ms += u64::from(LONG_WORK_MS);
     }
+    number
+}
+
+/// Submits a job whose tasks outlast the leases.
+fn submit_long_job(world: &mut World) -> JobNumber {
+    let number = new_long_job(world);
     submit_anywhere(world, number)
 }
 
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -49,6 +49,8 @@
 use crate::dispatch::witness::InvariantChecker;
 use crate::dispatch::worker::WorkerModel;
 use crate::dispatch::world::evacuations::Evacuations;
+pub use crate::dispatch::world::faults::Planned;
+use crate::dispatch::world::requests::Request;
 
 /// The default CPU capacity of a worker, in thousandths of a core.
 pub const CAPACITY: u32 = 16_000;
@@ -95,6 +97,9 @@
     StopReply(usize, u64, RunName, OrderReply),
     HoldReply(usize, u64, HoldReply),
     Resubmit(JobNumber),
+    /// A scheduler that was frozen reads a request.
+    Request(usize, u64, Request),
+    Planned(Planned),
     Restart(Node),
     Roster(usize, u64),
     /// An executor reads the heartbeat that an earlier incarnation saved in the store.
@@ -184,6 +189,8 @@
     pub policy: Policy,
     /// The share of starting schedulers that receive the roster late.
     pub unserved_share: f64,
+    /// Whether requests to a frozen scheduler wait in the connection until it runs again.
+    pub keeps_requests: bool,
     /// Whether to print log lines and what happens at the workers.
     pub trace: bool,
     /// Whether a crashed worker restarts under its old id.
@@ -245,6 +252,7 @@
             remote_factor: 1.0,
             steps: 0,
             answers: Vec::new(),
+            keeps_requests: false,
             trace: false,
             reuses_ids: false,
             schedulers: Vec::new(),
@@ -377,6 +385,10 @@
                 self.with_executor(n, incarnation, |e, now| e.handle_hold_reply(now, reply))
             }
             Event::Resubmit(number) => self.resubmit(number),
+            Event::Request(n, incarnation, request) => {
+                self.deliver_request(n, incarnation, request);
+            }
+            Event::Planned(planned) => self.carry_out(planned),
             Event::Restart(node) => self.restart(node),
             Event::Roster(n, incarnation) => self.deliver_roster(n, incarnation),
             Event::RestoreWorker(n, incarnation) => self.restore_worker(n, incarnation),
--- a/lib/testutils/src/dispatch/world/faults.rs
+++ b/lib/testutils/src/dispatch/world/faults.rs
@@ -1,8 +1,45 @@
-//! Processes that are killed, restarted, frozen and suspended.
+//! Processes that are killed, restarted, frozen and suspended, at once or at a planned time.
 
 use super::*;
 
+/// What happens at a planned time.
+#[derive(Clone, Copy, Debug)]
+pub enum Planned {
+    /// A job is submitted at a scheduler.
+    Submit(JobNumber, usize),
+    /// A job is cancelled at a scheduler.
+    Cancel(JobNumber, usize),
+    /// A process freezes for a span in microseconds.
+    Freeze(Node, u64),
+    /// A process is killed, unless it is down, and restarts after a span in microseconds.
+    Kill(Node, u64),
+    /// All links of a process are reset.
+    ResetLinks(Node),
+}
+
 impl World {
+    /// Plans what happens after `wait` microseconds.
+    pub fn plan(&mut self, wait: u64, planned: Planned) {
+        self.schedule(wait, Event::Planned(planned));
+    }
+
+    pub(super) fn carry_out(&mut self, planned: Planned) {
+        if self.trace {
+            println!("{:>12} {planned:?}", self.now);
+        }
+        match planned {
+            Planned::Submit(number, scheduler) => self.submit(number, scheduler),
+            Planned::Cancel(number, scheduler) => self.cancel(number, scheduler),
+            Planned::Freeze(node, span) => self.freeze(node, span),
+            Planned::Kill(node, downtime) => {
+                if self.is_up(node) {
+                    self.kill(node, false, downtime);
+                }
+            }
+            Planned::ResetLinks(node) => self.reset_links(node),
+        }
+    }
+
     /// Kills a process and restarts it after `downtime` microseconds. With `silent` its peers do not learn
     /// before that the links are closed.
     pub fn kill(&mut self, node: Node, silent: bool, downtime: u64) {
