soak: cancel jobs, some amid faults drawn together

The soak of real processes cancelled nothing. Now one job in ten is cancelled at a random entry (a stopped one's socket included), and every few seconds eight jobs are cancelled amid planned faults: one entry is stopped for 2 to 4 s and reads the jobs' second submissions when it continues, the one that has them is stopped, killed or loses its links just before that, and the third is killed before, around that time, or both. Callers of these jobs keep both connections. A start more than 3 s after a response with success is a violation, without an excuse. What the other draws of a seed are does not change.

--- a/lib/testutils/src/platform/callers.rs
+++ b/lib/testutils/src/platform/callers.rs
@@ -145,3 +145,18 @@
     }
     response
 }
+
+/// Cancels a job at an entry. From the response with success on, no task of it may be started for long.
+///
+/// # Panics
+///
+/// Panics if another thread panicked while it held the lock on the workers.
+pub async fn cancel_job(workers: &SharedWorkers, entry: SocketAddr, number: JobNumber) {
+    let path = format!("{PREFIX}{number}");
+    let response = send_request(entry, "DELETE", &path, None).await;
+    if response.status == 200 {
+        let mut workers = workers.lock().unwrap();
+        let now = workers.now();
+        workers.witness.record_cancel(number, now);
+    }
+}
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -3,6 +3,7 @@
 //! the while. The report says whether a guarantee was violated and whether the fleet recovered after the
 //! faults.
 
+mod cancels;
 mod faults;
 
 use std::cell::Cell;
@@ -23,6 +24,7 @@
 use crate::platform::fleet;
 use crate::platform::fleet::FIRST_VERSION;
 use crate::platform::fleet::Fleet;
+use crate::platform::soak::faults::PlannedFault;
 use crate::platform::soak::faults::Repair;
 
 /// An event of a soak's timeline: a fault, the end of one, or a change.
@@ -135,6 +137,8 @@
     crashes: ChaCha8Rng,
     /// Draws the faults between agents and their workers; separate likewise.
     worker_faults: ChaCha8Rng,
+    /// Draws the cancels and the faults around them; separate likewise.
+    cancels: ChaCha8Rng,
     fleet: Fleet,
     completed: Rc<Cell<u64>>,
     started_at: Instant,
@@ -143,6 +147,9 @@
     version: u64,
     evacuated: bool,
     pending_repairs: Vec<(Instant, Repair)>,
+    planned_faults: Vec<PlannedFault>,
+    /// When the next cancels amid faults are planned.
+    next_cancels: Instant,
     timeline: Vec<TimelineEvent>,
 }
 
@@ -157,6 +164,7 @@
         changes: ChaCha8Rng::seed_from_u64(!plan.seed),
         crashes: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32)),
         worker_faults: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(16)),
+        cancels: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(48)),
         fleet,
         completed: Rc::new(Cell::new(0)),
         started_at: Instant::now(),
@@ -165,6 +173,8 @@
         version: FIRST_VERSION,
         evacuated: false,
         pending_repairs: Vec::new(),
+        planned_faults: Vec::new(),
+        next_cancels: Instant::now(),
         timeline: Vec::new(),
     };
     soak.write_invalid_keys();
@@ -191,7 +201,10 @@
         let end = self.started_at + span;
         while Instant::now() < end && self.fleet.violation().is_none() {
             let crashing = self.crashes.random_bool(CRASHING_SHARE);
-            self.submit_job(crashing);
+            let job = self.submit_job(crashing);
+            self.maybe_cancel(job);
+            self.plan_cancels(Instant::now());
+            self.inject_planned(Instant::now());
             self.repair_due(Instant::now());
             if self.rng.random_bool(0.06) {
                 self.faults += 1;
@@ -213,6 +226,7 @@
     /// Ends all faults, waits until the fleet is ready, and checks that every entry follows the newest
     /// configuration and knows of no evacuated zone.
     async fn recover(&mut self) -> Result<(), String> {
+        self.planned_faults.clear();
         self.repair_due(Instant::now() + Duration::from_secs(60));
         if self.evacuated {
             self.toggle_evacuation();
@@ -250,13 +264,14 @@
     }
 
     /// Submits a job, which crashes workers if `crashing` is set.
-    fn submit_job(&mut self, crashing: bool) {
+    fn submit_job(&mut self, crashing: bool) -> CallerJob {
         self.jobs += 1;
         if crashing {
             self.record(format!("job {:016x} crashes workers", self.jobs));
         }
         let job = self.draw_job(crashing);
         spawn_caller(&mut self.rng, &self.fleet, &self.completed, job);
+        job
     }
 
     /// Draws the next job.
--- a/lib/testutils/src/platform/soak/faults.rs
+++ b/lib/testutils/src/platform/soak/faults.rs
@@ -31,7 +31,66 @@
     NotNeeded,
 }
 
+/// A fault of one entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum EntryFault {
+    /// The process is killed.
+    Kill,
+    /// The process is stopped, and continues later.
+    Stop,
+    /// All links of other processes to it are reset, and new ones as well.
+    ResetLinks,
+}
+
+/// A fault of an entry at a planned time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlannedFault {
+    pub at: Instant,
+    pub entry: usize,
+    pub fault: EntryFault,
+    pub span: Duration,
+}
+
 impl Soak {
+    /// Injects the planned faults that are due.
+    pub(super) fn inject_planned(&mut self, now: Instant) {
+        let due = self.planned_faults.iter().filter(|f| f.at <= now);
+        let due: Vec<PlannedFault> = due.copied().collect();
+        self.planned_faults.retain(|f| f.at > now);
+        for planned in due {
+            self.faults += 1;
+            let (description, repair) = self.inject_entry_fault(planned.fault, planned.entry);
+            self.record(format!("planned: {description} for {:?}", planned.span));
+            self.pending_repairs.push((now + planned.span, repair));
+        }
+    }
+
+    fn inject_entry_fault(&mut self, fault: EntryFault, entry: usize) -> (String, Repair) {
+        let fleet = &mut self.fleet;
+        match fault {
+            EntryFault::Kill => {
+                fleet.entries[entry].kill();
+                (format!("entry {entry} killed"), Repair::StartEntry(entry))
+            }
+            EntryFault::Stop => {
+                fleet.entries[entry].signal(Signal::SIGSTOP);
+                let repair = Repair::ContinueEntry(entry);
+                (format!("entry {entry} stopped"), repair)
+            }
+            EntryFault::ResetLinks => {
+                let reset = Fault {
+                    reset: true,
+                    ..Fault::default()
+                };
+                fleet.proxies[entry].set(reset);
+                (
+                    format!("links of entry {entry} reset"),
+                    Repair::ClearProxyFault(entry),
+                )
+            }
+        }
+    }
+
     /// Ends the faults that are due.
     pub(super) fn repair_due(&mut self, now: Instant) {
         let due = self.pending_repairs.iter().filter(|(at, _)| *at <= now);
@@ -118,19 +177,12 @@
     fn inject(&mut self, kind: u32, entry: usize, agent: usize) -> (String, Repair) {
         let fleet = &mut self.fleet;
         match kind {
-            0 => {
-                fleet.entries[entry].kill();
-                (format!("entry {entry} killed"), Repair::StartEntry(entry))
-            }
+            0 => self.inject_entry_fault(EntryFault::Kill, entry),
             1 => {
                 fleet.agents[agent].kill();
                 (format!("agent {agent} killed"), Repair::StartAgent(agent))
             }
-            2 => {
-                fleet.entries[entry].signal(Signal::SIGSTOP);
-                let repair = Repair::ContinueEntry(entry);
-                (format!("entry {entry} stopped"), repair)
-            }
+            2 => self.inject_entry_fault(EntryFault::Stop, entry),
             3 => {
                 fleet.agents[agent].signal(Signal::SIGSTOP);
                 let repair = Repair::ContinueAgent(agent);
@@ -147,17 +199,7 @@
                     Repair::ClearProxyFault(entry),
                 )
             }
-            5 => {
-                let reset = Fault {
-                    reset: true,
-                    ..Fault::default()
-                };
-                fleet.proxies[entry].set(reset);
-                (
-                    format!("links of entry {entry} reset"),
-                    Repair::ClearProxyFault(entry),
-                )
-            }
+            5 => self.inject_entry_fault(EntryFault::ResetLinks, entry),
             6 => {
                 let delay = Duration::from_millis(self.rng.random_range(1..60));
                 fleet.proxies[entry].set_delay(delay);
