executor: refuse the starts of cancelled jobs, whichever scheduler asks

The job comes again at an entry that is frozen and did not hear of the cancel; as it wakes and reads the request, the entry that took the cancel freezes and the third has just been started.

Cause: only entries remembered a cancel, and only those that had heard of it; an entry without that memory can't know that it lacks anything. The one process that sees each start, the executor, was told to stop runs, not that the job is over.

Now an entry that takes a cancel tells it to all executors that are linked, with the next orders (at once where the job may run for a peer that can't be reached), and to each that links while it is kept. The executor ends all tasks of the job and decides in one place (executor/claims.rs) for whom tasks may start: claimed, cancelled, or free. A scheduler that asks for a start or a claim of a cancelled job, or has some, is told (Update.cancelled) before the ends of its tasks: it ends the job, answers its callers at once and tells the others (SC440, SC486). An executor that has just started or was without any link asks for all cancels that are known. The time that remains goes along wherever a cancel is told, so links that come and go can't keep it for longer than claims.memory in all. The memory is bounded at executors by claims.cancels too (SC484, a counter). The revocation by claims when a peer is lost, which reached linked executors only, is not needed any more.

The answer waits for nothing. test_fleet_cost_cancels holds that a cancel costs no message of its own. A job that nobody cancelled may never be reported as cancelled: the checker says so now.

--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -215,6 +215,8 @@
         ("preempted", counts.preempted),
         ("preempted_core_ms", counts.wasted_core_ms),
         ("speed_changes", counts.speed_changes),
+        ("cancelled", counts.cancelled_tasks),
+        ("cancels_dropped", counts.dropped_cancels),
         ("log_lines_dropped", process.dropped),
     ];
     let help = "What the executor did.";
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -12,6 +12,7 @@
 //! `docs/design/platform.md` explains this division of work.
 
 pub mod balance;
+pub mod cancels;
 pub mod catalog;
 pub mod contention;
 pub mod crashes;
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -23,6 +23,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use crate::dispatch::cancels::CancelMemory;
 use crate::dispatch::executor::claims::Claim;
 use crate::dispatch::executor::crashes::CrashMemory;
 use crate::dispatch::executor::health::Health;
@@ -142,6 +143,10 @@
     pub wasted_core_ms: u64,
     /// Lasting changes of the worker's speed.
     pub speed_changes: u64,
+    /// Tasks that were not started because their job was cancelled.
+    pub cancelled_tasks: u64,
+    /// Cancels that were forgotten because there were too many.
+    pub dropped_cancels: u64,
 }
 
 /// Allowance for a slow worker clock: a span on the worker's clock lasts at most this many times as long on
@@ -181,6 +186,8 @@
     queue: VecDeque<QueuedTask>,
     sessions: BTreeMap<String, Session>,
     claims: BTreeMap<JobNumber, Claim>,
+    /// Cancelled jobs, kept for `claims.memory`. None of them has a claim.
+    cancels: CancelMemory,
     crash_memory: CrashMemory,
     /// The number of the last end reported to any scheduler. It is counted across all sessions, since a
     /// scheduler can outlive its session.
@@ -213,6 +220,8 @@
     unknown_since: Option<Mono>,
     /// Whether renewals are withheld from the worker.
     withholding: bool,
+    /// When no scheduler was linked for the last time, from which on cancels may have been missed.
+    unlinked_at: Mono,
     /// Whether the worker was found to have no runs before its first heartbeat arrived.
     verified_idle: bool,
     /// The incarnation id in the pending hold, if that hold only requests lists; an empty id names no
@@ -248,6 +257,8 @@
             queue: VecDeque::new(),
             sessions: BTreeMap::new(),
             claims: BTreeMap::new(),
+            cancels: CancelMemory::new(&setup.policy.claims),
+            unlinked_at: setup.started,
             crash_memory: CrashMemory::default(),
             last_end: 0,
             profile_hash: reports::hash_profile(&proto::Profile::default()),
--- a/lib/src/dispatch/executor/reports.rs
+++ b/lib/src/dispatch/executor/reports.rs
@@ -66,6 +66,8 @@
         let outdated = sent != self.profile_hash;
         let profile = outdated.then(|| self.profile_for(name));
         let held = self.sessions[name].list_held.then(|| self.held_tasks(name));
+        // In the first update on a link, so that they come before anything that the scheduler places here.
+        let cancels_wanted = held.is_some() && self.may_lack_cancels(now);
         let Some(session) = self.sessions.get_mut(name) else {
             return;
         };
@@ -90,6 +92,10 @@
         let crashed = crashed.collect();
         let claimed = claimed.iter().map(|job| job.0).collect();
         let denied = session.denied.drain(..).map(|j| j.0).collect();
+        let cancelled = std::mem::take(&mut session.cancelled);
+        let cancelled = cancelled.into_iter();
+        let cancelled = cancelled.filter_map(|job| self.cancels.proto_of(now, job));
+        let cancelled = cancelled.collect();
         let record = self.zone_record;
         let news = record.revision > session.zone_sent;
         session.zone_sent = session.zone_sent.max(record.revision);
@@ -115,6 +121,8 @@
             departed,
             accounted,
             newcomers: self.unpublished_holders(),
+            cancelled,
+            cancels_wanted,
         };
         let body = proto::frame::Body::Update(update);
         self.actions.push(Action::Send(link, Box::new(body)));
--- a/lib/src/dispatch/executor/sessions.rs
+++ b/lib/src/dispatch/executor/sessions.rs
@@ -9,6 +9,7 @@
 
 use super::Action;
 use super::Executor;
+use super::claims::StartRight;
 use super::preemption::RunRank;
 use super::runs::QueuedTask;
 use super::runs::Run;
@@ -46,6 +47,8 @@
     pub claimed: Vec<JobNumber>,
     /// Denied claims to report in the next update.
     pub denied: Vec<JobNumber>,
+    /// Cancelled jobs to report in the next update.
+    pub cancelled: Vec<JobNumber>,
     /// Slow runs of the scheduler to report in the next update.
     pub slow: Vec<TaskName>,
     /// Whether an update is due at once.
@@ -83,6 +86,9 @@
         for key in earlier {
             self.end_session(now, &key);
         }
+        if self.linked_schedulers() == 0 {
+            self.unlinked_at = now;
+        }
         let lease_until = now + self.setup.lease;
         let session = self.sessions.entry(owner).or_insert(Session {
             name: greeting.name.clone(),
@@ -97,6 +103,7 @@
             sequence: 0,
             claimed: Vec::new(),
             denied: Vec::new(),
+            cancelled: Vec::new(),
             slow: Vec::new(),
             urgent: true,
             changed: true,
@@ -166,6 +173,7 @@
         if let Some(state) = &orders.zone {
             self.apply_zone_state(now, &name, state);
         }
+        self.register_cancels(now, &name, &orders);
         for job in orders.claims {
             self.register_claim(now, &name, JobNumber(job), false);
         }
@@ -238,8 +246,10 @@
 
     /// Queues a task, or returns it to its scheduler with the reason why it can't be started here.
     fn accept_task(&mut self, now: Mono, queued: QueuedTask, fresh: bool) {
-        if self.is_claimed_by_other(&queued.scheduler, queued.task.job) {
-            return self.report_unstarted(now, &queued, EndKind::Claimed);
+        match self.start_right(&queued.scheduler, queued.task.job) {
+            StartRight::Granted => {}
+            StartRight::Claimed => return self.report_unstarted(now, &queued, EndKind::Claimed),
+            StartRight::Cancelled => return self.refuse_cancelled(now, &queued),
         }
         if queued.crashes.is_given_up(&self.setup.policy.crashes) {
             return self.report_unstarted(now, &queued, EndKind::Crashed);
@@ -259,6 +269,15 @@
         self.enqueue(queued);
     }
 
+    /// Returns a task of a cancelled job to its scheduler, which is told that the job was cancelled.
+    fn refuse_cancelled(&mut self, now: Mono, queued: &QueuedTask) {
+        self.counts.cancelled_tasks += 1;
+        let detail = format!("{} for {}", queued.task, queued.scheduler);
+        self.log(Kind::CancelledRefused, detail);
+        self.report_cancelled(&queued.scheduler, queued.task.job);
+        self.report_unstarted(now, queued, EndKind::Claimed);
+    }
+
     /// Returns all queued tasks to their schedulers.
     pub(super) fn return_queue(&mut self, now: Mono) {
         for queued in std::mem::take(&mut self.queue) {
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -44,6 +44,7 @@
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
+use crate::dispatch::cancels::CancelMemory;
 use crate::dispatch::catalog::CatalogIndex;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
@@ -51,7 +52,6 @@
 use crate::dispatch::scheduler::announcements::Announcements;
 use crate::dispatch::scheduler::balance::Loads;
 use crate::dispatch::scheduler::bulkhead::Bulkheads;
-use crate::dispatch::scheduler::cancels::Cancels;
 use crate::dispatch::scheduler::catalog_sync::CatalogSync;
 use crate::dispatch::scheduler::cell::Cell;
 use crate::dispatch::scheduler::contention::Contention;
@@ -145,7 +145,9 @@
     /// Jobs run by peers whose outcome callers here wait for.
     following: BTreeMap<JobNumber, FollowedJob>,
     /// Cancelled jobs, kept for `claims.memory`.
-    cancels: Cancels,
+    cancels: CancelMemory,
+    /// Those of them whose cancel was acknowledged here.
+    own_cancels: CancelMemory,
     /// When a peer reported that it no longer has a job; kept for one lapse.
     withdrawn: BTreeMap<JobNumber, Mono>,
     /// When the claims that wait were last logged.
@@ -213,6 +215,7 @@
     pub fn new(setup: SchedulerSetup) -> Scheduler {
         let rng = SmallRng::seed_from_u64(setup.seed);
         let active_since = setup.started;
+        let cancels = CancelMemory::new(&setup.policy.claims);
         Scheduler {
             setup,
             catalog: CatalogSync::default(),
@@ -220,7 +223,8 @@
             waiting: BTreeSet::new(),
             ended: BTreeMap::new(),
             following: BTreeMap::new(),
-            cancels: Cancels::default(),
+            own_cancels: cancels.clone(),
+            cancels,
             withdrawn: BTreeMap::new(),
             claims_logged: Mono::default(),
             announced: Announcements::default(),
@@ -392,7 +396,8 @@
         let memory = self.setup.policy.claims.memory;
         self.ended.retain(|_, e| now.since(e.at) < memory);
         self.announced.forget_before(now - memory);
-        self.cancels.forget_before(now - memory);
+        self.cancels.expire(now);
+        self.own_cancels.expire(now);
         let lapse = self.setup.lapse;
         self.withdrawn.retain(|_, at| now.since(*at) < lapse);
     }
--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -1,98 +1,65 @@
-//! Cancelled jobs. A caller whose cancel was accepted may expect that the job ends, wherever it runs and
-//! whoever takes it up later. So a cancel is kept for as long as jobs are remembered: the job is not accepted
-//! here any more, and every peer is told, also on each new link, and keeps the cancel as well.
+//! Cancelled jobs. A caller whose cancel was acknowledged may expect that the job ends, wherever it runs and
+//! whoever takes it up later. So a cancel is kept for as long as jobs are remembered, here, at all peers and at
+//! all executors: the job is not accepted any more, and no executor starts a task of it.
 //!
-//! A peer that has the job may be out of reach, and run it on. The scheduler that accepted the cancel then
-//! claims the job at the executors, which ends its runs there and prevents new ones.
-
-use std::collections::BTreeMap;
+//! The executors matter most, as each start passes through one of them. A scheduler that has not heard of a
+//! cancel, because it was frozen or has just started, learns of it from the first executor at which it places
+//! or claims the job, and keeps it as well.
 
 use super::Action;
 use super::Scheduler;
+use super::executors::ExecutorKey;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::event::Kind;
 use crate::prelude::*;
-
-/// A cancel that is kept.
-#[derive(Clone, Copy, Debug)]
-struct Cancel {
-    at: Mono,
-    /// Whether a caller sent it here, and not a peer.
-    own: bool,
-}
-
-/// The cancels that are kept, by job.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Cancels(BTreeMap<JobNumber, Cancel>);
-
-impl Cancels {
-    /// Keeps a cancel. Returns the oldest one, which is dropped, if there are now more than `most`.
-    fn keep(&mut self, number: JobNumber, at: Mono, own: bool, most: usize) -> Option<JobNumber> {
-        let cancel = self.0.entry(number).or_insert(Cancel { at, own });
-        cancel.own |= own;
-        if self.0.len() <= most {
-            return None;
-        }
-        let oldest = self.0.iter().min_by_key(|(_, cancel)| cancel.at);
-        let oldest = oldest.map(|(number, _)| *number)?;
-        self.0.remove(&oldest);
-        Some(oldest)
-    }
-
-    /// Returns whether a job was cancelled.
-    pub fn contains(&self, number: JobNumber) -> bool {
-        self.0.contains_key(&number)
-    }
-
-    /// Returns the cancelled jobs.
-    pub fn numbers(&self) -> impl Iterator<Item = JobNumber> + '_ {
-        self.0.keys().copied()
-    }
-
-    /// Returns the jobs that callers have cancelled here.
-    fn own(&self) -> impl Iterator<Item = JobNumber> + '_ {
-        let own = self.0.iter().filter(|(_, cancel)| cancel.own);
-        own.map(|(number, _)| *number)
-    }
-
-    /// Drops the cancels made at or before the given time.
-    pub fn forget_before(&mut self, bound: Mono) {
-        self.0.retain(|_, cancel| cancel.at > bound);
-    }
-}
+use crate::protos::dispatch as proto;
 
 impl Scheduler {
-    /// Cancels a job here and at all peers, for a caller. Returns whether the job is known.
+    /// Cancels a job here, at all peers and at all executors, for a caller. Returns whether the job is known.
     pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
         self.advance_clock(now);
         let held = self.jobs.contains_key(&number);
-        if !held && self.known_outcome(number).is_some() {
+        let cancelled = self.cancels.contains(number);
+        let over = !held && !cancelled && self.known_outcome(number).is_some();
+        if over || self.own_cancels.contains(number) {
             return true;
         }
         let known = held
+            || cancelled
             || self.ended.contains_key(&number)
             || self.following.contains_key(&number)
             || self.announced.is_announced(number);
         if !known {
             return false;
         }
-        self.apply_cancel(number, true);
+        let reachable = held || self.linked_holder(number).is_some();
+        self.own_cancels.insert(self.now, number);
+        let dropped = self.cancels.insert(self.now, number);
+        self.log_dropped_cancel(dropped);
+        self.end_cancelled_job(number);
         self.pass_cancel_on(number);
-        if !held && self.linked_holder(number).is_none() {
-            self.revoke_runs(number);
-        }
+        self.cancel_at_executors(number, !reachable);
         self.place();
         true
     }
 
-    /// Keeps a cancel and ends the job here: for its callers, whether it runs here or at a peer.
-    pub(super) fn apply_cancel(&mut self, number: JobNumber, own: bool) {
-        let most = self.setup.policy.claims.cancels as usize;
-        if let Some(dropped) = self.cancels.keep(number, self.now, own, most) {
+    /// Keeps a cancel that another process has told of, and ends the job here.
+    fn apply_told_cancel(&mut self, told: &proto::CancelledJob) {
+        let dropped = self.cancels.insert_told(self.now, told);
+        self.log_dropped_cancel(dropped);
+        self.end_cancelled_job(JobNumber(told.job));
+    }
+
+    fn log_dropped_cancel(&mut self, dropped: Option<JobNumber>) {
+        if let Some(dropped) = dropped {
             self.counts.dropped_cancels += 1;
             self.log(Kind::CancelDropped, dropped.to_string());
         }
+    }
+
+    /// Ends a cancelled job here: for its callers, whether it runs here or at a peer.
+    fn end_cancelled_job(&mut self, number: JobNumber) {
         if let Some(following) = self.following.remove(&number) {
             for caller in following.callers {
                 let outcome = JobOutcome::Cancelled;
@@ -102,6 +69,32 @@
         self.end_job(number, JobOutcome::Cancelled, "cancelled");
     }
 
+    /// Applies the cancels that a peer tells of: those since its last message, and earlier ones.
+    pub(super) fn apply_peer_cancels(&mut self, fresh: &[u64], kept: &[proto::CancelledJob]) {
+        for job in fresh {
+            let number = JobNumber(*job);
+            let dropped = self.cancels.insert(self.now, number);
+            self.log_dropped_cancel(dropped);
+            self.end_cancelled_job(number);
+        }
+        for told in kept {
+            self.apply_told_cancel(told);
+        }
+    }
+
+    /// Ends a job that an executor knows to be cancelled, and tells the others, which may not know it either.
+    pub(super) fn learn_cancel(&mut self, key: ExecutorKey, told: &proto::CancelledJob) {
+        let number = JobNumber(told.job);
+        if self.cancels.contains(number) {
+            return;
+        }
+        let place = self.executors[key].name.clone();
+        self.log(Kind::CancelLearned, format!("{number} from {place}"));
+        self.apply_told_cancel(told);
+        self.pass_cancel_on(number);
+        self.cancel_at_executors(number, false);
+    }
+
     /// Tells all linked peers of a cancel: at once those that have announced the job, the others with the next
     /// update.
     fn pass_cancel_on(&mut self, number: JobNumber) {
@@ -114,24 +107,38 @@
         }
     }
 
-    /// Revokes the jobs that callers have cancelled here and that a lost peer had: it may live and run them.
-    pub(super) fn revoke_cancelled_jobs(&mut self, peer: &str) {
-        let is_held = |number: &JobNumber| self.announced.holders(*number).any(|h| h == peer);
-        let held: Vec<JobNumber> = self.cancels.own().filter(is_held).collect();
-        for number in held {
-            self.revoke_runs(number);
-        }
-    }
-
-    /// Claims a job at all linked executors without running it: they end what runs of it for others, and start
-    /// no more.
-    fn revoke_runs(&mut self, number: JobNumber) {
+    /// Tells all linked executors of a cancel, with their next orders or, with `urgently`, at once: the job may
+    /// run for a peer that can't be reached, and only the executors can end it.
+    fn cancel_at_executors(&mut self, number: JobNumber, urgently: bool) {
         for (key, executor) in &mut self.executors {
-            if executor.link.is_some() {
-                executor.orders.claims.push(number.0);
+            if executor.link.is_none() {
+                continue;
+            }
+            executor.orders.cancel.push(number.0);
+            if urgently {
+                executor.cancels_urgently = true;
                 self.pending.push(key);
             }
         }
-        self.log(Kind::JobRevoked, number.to_string());
+        if urgently {
+            self.log(Kind::JobRevoked, number.to_string());
+        }
+    }
+
+    /// Tells an executor of the cancels that callers sent here: those that were on the way on an earlier link
+    /// may be lost. Others it has heard from the schedulers that acknowledged them.
+    pub(super) fn send_own_cancels(&mut self, key: ExecutorKey) {
+        self.executors[key].orders.kept_cancels = self.own_cancels.proto(self.now);
+    }
+
+    /// Tells an executor of all cancels that are kept, since it has just started or was cut off.
+    pub(super) fn send_all_cancels(&mut self, key: ExecutorKey) {
+        if self.cancels.is_empty() {
+            return;
+        }
+        let executor = &mut self.executors[key];
+        executor.orders.kept_cancels = self.cancels.proto(self.now);
+        executor.cancels_urgently = true;
+        self.pending.push(key);
     }
 }
--- a/lib/src/dispatch/scheduler/executor_view.rs
+++ b/lib/src/dispatch/scheduler/executor_view.rs
@@ -46,6 +46,8 @@
     pub placed: BTreeMap<TaskName, u32>,
     /// The orders that are being gathered for it.
     pub orders: proto::Orders,
+    /// Whether the gathered orders hold cancels that need not wait for the next heartbeat.
+    pub cancels_urgently: bool,
     last_orders: Mono,
     members_sent: MemberCursor,
     /// The highest number of a task end that was received from this incarnation.
@@ -115,6 +117,7 @@
             sequence: 0,
             placed: BTreeMap::new(),
             orders: proto::Orders::default(),
+            cancels_urgently: false,
             last_orders: Mono::default(),
             members_sent: MemberCursor::default(),
             seen_ends: 0,
@@ -162,6 +165,7 @@
         self.sequence = 0;
         self.uncounted.clear();
         self.orders = proto::Orders::default();
+        self.cancels_urgently = false;
         self.last_orders = Mono::default();
         self.standby = true;
         self.standby_sent = true;
@@ -201,7 +205,7 @@
     }
 
     /// Takes the orders to send now: the gathered ones if they are urgent, or a heartbeat if one is due.
-    /// Claims alone wait for a minimum interval.
+    /// Claims and urgent cancels alone wait for a minimum interval.
     pub fn due_orders(
         &mut self,
         now: Mono,
@@ -211,7 +215,7 @@
         let link = self.link?;
         let orders = &self.orders;
         let urgent = !(orders.starts.is_empty() && orders.stops.is_empty());
-        let claims = !(orders.claims.is_empty() && orders.renewals.is_empty());
+        let claims = self.has_claims();
         let gap = now.since(self.last_orders);
         let heartbeat = match self.standby && self.standby_sent {
             true => self.policy.cells.heartbeat,
@@ -228,6 +232,7 @@
             return None;
         }
         let mut orders = std::mem::take(&mut self.orders);
+        self.cancels_urgently = false;
         if !orders.starts.is_empty() {
             self.sequence += 1;
             orders.sequence = self.sequence;
@@ -276,12 +281,18 @@
         self.link = None;
     }
 
-    /// Returns whether starts, stops or claims are gathered that have not been sent.
+    /// Returns whether starts, stops, claims or urgent cancels are gathered that have not been sent.
     pub fn is_pending(&self) -> bool {
         let orders = &self.orders;
         let urgent = !(orders.starts.is_empty() && orders.stops.is_empty());
+        self.link.is_some() && (urgent || self.has_claims())
+    }
+
+    /// Returns whether claims or urgent cancels are gathered.
+    fn has_claims(&self) -> bool {
+        let orders = &self.orders;
         let claims = !(orders.claims.is_empty() && orders.renewals.is_empty());
-        self.link.is_some() && (urgent || claims)
+        claims || self.cancels_urgently
     }
 
     /// Applies a report: drops the reserved demand that it counts in, and computes the free resources.
--- a/lib/src/dispatch/scheduler/executors.rs
+++ b/lib/src/dispatch/scheduler/executors.rs
@@ -48,6 +48,7 @@
         self.pending.push(key);
         self.invalidate_unreachable();
         self.send_open_claims(key);
+        self.send_own_cancels(key);
         self.announce_executor(&greeting.name);
     }
 
@@ -144,6 +145,13 @@
             self.speeds.remove(executor.report.slowness_percent);
             executor.apply_report(report);
         }
+        // Before the ends: those of a cancelled job must not make it end in another way.
+        for cancelled in &update.cancelled {
+            self.learn_cancel(key, cancelled);
+        }
+        if update.cancels_wanted {
+            self.send_all_cancels(key);
+        }
         for end in update.ends {
             self.handle_task_end(key, &end);
         }
--- a/lib/src/dispatch/scheduler/peer_links.rs
+++ b/lib/src/dispatch/scheduler/peer_links.rs
@@ -70,7 +70,7 @@
     /// Returns the first update on a link.
     fn introduction(&self) -> proto::PeerUpdate {
         proto::PeerUpdate {
-            cancel: self.cancels.numbers().map(|number| number.0).collect(),
+            kept_cancels: self.cancels.proto(self.now),
             jobs: self.jobs_to_announce(),
             executors: self.linked_executors(),
             confined: self.confined_queues(),
@@ -122,7 +122,7 @@
         peer.outgoing.jobs = introduction.jobs;
         peer.outgoing.executors = introduction.executors;
         peer.outgoing.confined = introduction.confined;
-        peer.outgoing.cancel = introduction.cancel;
+        peer.outgoing.kept_cancels = introduction.kept_cancels;
         peer.reset_sent_state();
     }
 
@@ -180,7 +180,6 @@
         for number in orphans {
             self.take_over(number);
         }
-        self.revoke_cancelled_jobs(name);
     }
 
     /// Disconnects peers that have been silent for too long, and forgets those that have been gone for long.
--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -240,9 +240,7 @@
         for job in &update.handed {
             self.accept_handoff(name, job);
         }
-        for job in update.cancel {
-            self.apply_cancel(JobNumber(job), false);
-        }
+        self.apply_peer_cancels(&update.cancel, &update.kept_cancels);
         for job in update.unfollow {
             self.handle_unfollow(name, JobNumber(job));
         }
--- a/lib/src/dispatch/scheduler/submission.rs
+++ b/lib/src/dispatch/scheduler/submission.rs
@@ -157,6 +157,7 @@
     /// Registers an accepted job, announces it to peers, and claims it or queues its tasks.
     fn insert_job(&mut self, mut job: Job, claim: bool) {
         let number = job.request.number;
+        debug_assert!(!self.cancels.contains(number), "{number} was cancelled");
         self.last_accepted = self.now;
         job.began_before = self.ended.get(&number).is_some_and(|e| e.began);
         let claim = claim || job.began_before;
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -122,6 +122,7 @@
     RunsLost = 437, Warn, "a worker is gone or was silent for too long; what ran there is lost";
     StartUnsent = 438, Info, "a start was not sent, since the worker accepts no connections; the task is returned";
     RenewalsWithheld = 439, Warn, "the worker's runs are left to expire, because one that no lease covers may still be there";
+    CancelledRefused = 440, Info, "a task was not started, since its job was cancelled; the scheduler is told";
     BacklogGrew = 460, Info, "work waits for free capacity";
     BacklogCleared = 461, Info, "no work waits for free capacity any more";
     WorkAhead = 462, Info, "the backlog ahead of a job that is refused or given up";
@@ -141,6 +142,7 @@
     ClaimsPending = 483, Info, "this process has just started; claimed jobs wait for contact with other processes";
     CancelDropped = 484, Warn, "more cancelled jobs are remembered than allowed; the oldest is forgotten";
     JobRevoked = 485, Info, "a cancelled job may run for a peer that can't be reached; executors are told to end it";
+    CancelLearned = 486, Info, "an executor knows that a job was cancelled; the job ends here";
 }
 
 /// One occurrence of an event, as it is logged.
--- a/lib/src/protos/stackcourse.dispatch.rs
+++ b/lib/src/protos/stackcourse.dispatch.rs
@@ -143,6 +143,15 @@
     #[prost(uint32, tag = "5")]
     pub attempt: u32,
 }
+/// A job whose cancel was acknowledged to a caller.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelledJob {
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+    /// For how much longer the cancel is kept, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub remaining_ms: u32,
+}
 /// Sent by a scheduler to an executor.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Orders {
@@ -176,6 +185,14 @@
     /// The state of the receiver's availability zone, if it has changed since it was last exchanged on this link.
     #[prost(message, optional, tag = "10")]
     pub zone: ::core::option::Option<ZoneState>,
+    /// Jobs that were cancelled since the last message. The receiver ends all runs of them and starts no more,
+    /// whichever scheduler asks.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub cancel: ::prost::alloc::vec::Vec<u64>,
+    /// Earlier cancels: in the first message on a link those that callers sent to the sender, and all that the
+    /// sender knows of if the receiver has asked for them.
+    #[prost(message, repeated, tag = "12")]
+    pub kept_cancels: ::prost::alloc::vec::Vec<CancelledJob>,
 }
 /// Sent by an entry to an entry of another partition: requests of its callers for jobs of that partition.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -327,6 +344,12 @@
     /// The incarnations of lease holders that the profile does not list yet.
     #[prost(fixed64, repeated, tag = "14")]
     pub newcomers: ::prost::alloc::vec::Vec<u64>,
+    /// Jobs that the receiver has tasks or claims of here, or asks for some, and that were cancelled.
+    #[prost(message, repeated, tag = "15")]
+    pub cancelled: ::prost::alloc::vec::Vec<CancelledJob>,
+    /// Whether the sender may have missed cancels and asks for all that the receiver knows of.
+    #[prost(bool, tag = "16")]
+    pub cancels_wanted: bool,
 }
 /// Properties of an executor and its worker that rarely change.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -470,6 +493,7 @@
     pub follow: ::prost::alloc::vec::Vec<u64>,
     #[prost(message, repeated, tag = "3")]
     pub ends: ::prost::alloc::vec::Vec<JobEnd>,
+    /// Jobs that were cancelled since the last message.
     #[prost(fixed64, repeated, tag = "4")]
     pub cancel: ::prost::alloc::vec::Vec<u64>,
     /// The version of the configuration that the sender has in force.
@@ -529,6 +553,9 @@
     /// Jobs handed off to the receiver for which no caller waits at the sender any more.
     #[prost(fixed64, repeated, tag = "22")]
     pub unfollow: ::prost::alloc::vec::Vec<u64>,
+    /// In the first message on a link: all earlier cancels that the sender knows of.
+    #[prost(message, repeated, tag = "23")]
+    pub kept_cancels: ::prost::alloc::vec::Vec<CancelledJob>,
 }
 /// An executor that has reported to the sender in this incarnation and has fallen silent since.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -5,6 +5,7 @@
 //! submodules cover one concern of the executor each.
 
 mod accounting;
+mod cancels;
 mod claims;
 mod crashes;
 mod evacuation;
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -455,6 +455,8 @@
     let (schedulers, executors) = world.size();
     let which = world.rng.random_range(0..3);
     let silent = world.rng.random_bool(0.5);
+    let killed = ["all schedulers", "all executors", "all processes"][which];
+    world.print(Node::Scheduler(0), &format!("{killed} are killed"));
     if workers && which == 2 {
         for number in 0..executors {
             world.lose_power(number);
--- a/lib/testutils/src/dispatch/witness.rs
+++ b/lib/testutils/src/dispatch/witness.rs
@@ -33,6 +33,8 @@
     pub refused: u32,
     /// Whether a task of the job has started.
     pub began: bool,
+    /// Whether a caller has cancelled the job, acknowledged or not.
+    pub cancel_sent: bool,
     /// When a cancel of the job was first acknowledged, in microseconds on the world's clock.
     pub cancelled_at: Option<u64>,
 }
@@ -128,6 +130,13 @@
         }
     }
 
+    /// Records that a caller cancels a job.
+    pub fn record_cancel_sent(&mut self, number: JobNumber) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.cancel_sent = true;
+        }
+    }
+
     /// Records that a cancel of a job was acknowledged.
     pub fn record_cancel(&mut self, number: JobNumber, now: u64) {
         if let Some(job) = self.jobs.get_mut(&number) {
@@ -135,16 +144,20 @@
         }
     }
 
-    /// Checks that a task that starts was not cancelled long ago.
-    pub fn check_not_cancelled(&mut self, task: TaskName, now: u64) {
+    /// Checks that a task that starts was not cancelled long ago. `runs_for` tells how long the executor that
+    /// starts it has run, in microseconds, if that is known; it does not decide, and only serves the trace.
+    pub fn check_not_cancelled(&mut self, task: TaskName, now: u64, runs_for: Option<u64>) {
         let job = self.jobs.get(&task.job);
         let Some(at) = job.and_then(|j| j.cancelled_at) else {
             return;
         };
         if now >= at + CANCEL_US {
             let ms = (now - at) / 1000;
+            let runs_for = runs_for.map(|us| us / 1000);
+            let runs_for = runs_for.map(|ms| format!(", by an executor that has run for {ms} ms"));
             self.report_violation(format!(
-                "{task} was started {ms} ms after its job's cancel was acknowledged"
+                "{task} was started {ms} ms after its job's cancel was acknowledged{}",
+                runs_for.unwrap_or_default()
             ));
         }
     }
@@ -209,7 +222,15 @@
                     ));
                 }
             }
-            JobOutcome::Cancelled | JobOutcome::Unknown | JobOutcome::GivenUp => self.others += 1,
+            JobOutcome::Cancelled => {
+                self.others += 1;
+                if !job.cancel_sent {
+                    let what =
+                        format!("{number} is reported as cancelled, but nobody cancelled it");
+                    self.report_violation(what);
+                }
+            }
+            JobOutcome::Unknown | JobOutcome::GivenUp => self.others += 1,
         }
     }
 }
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -151,6 +151,7 @@
 struct ExecutorNode {
     executor: Executor,
     up: bool,
+    started_at: u64,
     incarnation: u64,
     skew: u64,
     frozen_until: u64,
--- a/lib/testutils/src/dispatch/world/processes.rs
+++ b/lib/testutils/src/dispatch/world/processes.rs
@@ -43,6 +43,7 @@
         ExecutorNode {
             executor: Executor::new(setup),
             up: true,
+            started_at: self.now,
             incarnation,
             skew,
             frozen_until: 0,
--- a/lib/testutils/src/dispatch/world/requests.rs
+++ b/lib/testutils/src/dispatch/world/requests.rs
@@ -70,6 +70,7 @@
 
     /// Cancels a job at a scheduler.
     pub fn cancel(&mut self, number: JobNumber, scheduler: usize) {
+        self.witness.record_cancel_sent(number);
         self.send_request(scheduler, Request::Cancel(number));
     }
 
--- a/lib/testutils/src/platform/callers.rs
+++ b/lib/testutils/src/platform/callers.rs
@@ -137,6 +137,9 @@
         (200, "completed") => workers
             .witness
             .check_answer(job.number, JobOutcome::Completed),
+        (200, "cancelled") => workers
+            .witness
+            .check_answer(job.number, JobOutcome::Cancelled),
         (200, "failed") => workers.witness.check_answer(job.number, JobOutcome::Failed),
         (503, _) => workers
             .witness
@@ -153,6 +156,7 @@
 /// Panics if another thread panicked while it held the lock on the workers.
 pub async fn cancel_job(workers: &SharedWorkers, entry: SocketAddr, number: JobNumber) {
     let path = format!("{PREFIX}{number}");
+    workers.lock().unwrap().witness.record_cancel_sent(number);
     let response = send_request(entry, "DELETE", &path, None).await;
     if response.status == 200 {
         let mut workers = workers.lock().unwrap();
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -237,7 +237,7 @@
             .check_start(task, runs_elsewhere, used_cpu, CAPACITY);
         self.starts[number] += 1;
         let now = self.now();
-        self.witness.check_not_cancelled(task, now);
+        self.witness.check_not_cancelled(task, now, None);
         let since = self.evacuated_since[number].map(|at| now.saturating_sub(at));
         if since.is_some_and(|since| since >= EVACUATION_GRACE_US) {
             let what = format!("{task} was started at worker {number}, whose zone is evacuated");
--- a/lib/testutils/tests/runner/main.rs
+++ b/lib/testutils/tests/runner/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the simulations: randomised runs and load runs with fixed seeds.
 
+mod test_cancelled_jobs;
 mod test_catalog_spread;
 mod test_crashing_tasks;
 mod test_dispatch_load;
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -91,6 +91,29 @@
     }
 }
 
+/// Guards against jobs that are run although their cancel was acknowledged, because all schedulers that have heard
+/// of it freeze, die or lose their links.
+#[test]
+fn test_dispatch_run_cancels_amid_faults() {
+    for (seed, losses) in [
+        (51004, false),
+        (51014, false),
+        (51059, false),
+        (51010, true),
+        (51063, true),
+    ] {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            cancelling: true,
+            losses,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+        assert!(report.starts > 0, "seed {seed} started nothing");
+    }
+}
+
 /// Guards against followed jobs that are not taken over because schedulers are linked twice and one link is
 /// reset.
 #[test]
--- a/lib/testutils/tests/runner/test_fleet_cost.rs
+++ b/lib/testutils/tests/runner/test_fleet_cost.rs
@@ -8,10 +8,12 @@
 
 use std::time::Duration;
 
+use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::policy::Policy;
 use stackcourse_testutils::dispatch::callers::Callers;
 use stackcourse_testutils::dispatch::network::Node;
 use stackcourse_testutils::dispatch::network::Traffic;
+use stackcourse_testutils::dispatch::world::Planned;
 use stackcourse_testutils::dispatch::world::World;
 
 /// The numbers of schedulers, executors and zones of a small and a large fleet.
@@ -58,3 +60,69 @@
     let bytes = bytes_per_s(traffic);
     assert!(bytes < 20_000, "{bytes} bytes a second in a small fleet");
 }
+
+/// The numbers of schedulers, executors and zones of a fleet in which many jobs are cancelled.
+const CANCELLING: (usize, usize, usize) = (5, 40, 5);
+/// The number of jobs, of which each is cancelled.
+const JOBS: u64 = 200;
+/// The time between two submissions, in microseconds.
+const JOB_GAP_US: u64 = 5_000;
+/// When a job ends or is cancelled after its submission, in microseconds.
+const JOB_US: u64 = 300_000;
+
+/// Returns the frames and the bytes that all schedulers send while jobs end by themselves, or are cancelled.
+fn sent_with_jobs(cancelled: bool) -> (u64, u64) {
+    let catalog = Callers::default().catalog;
+    let mut world = World::with_zones(1, CANCELLING, catalog, Policy::default());
+    world.run(Duration::from_secs(3));
+    world.network.reset_traffic();
+    let (schedulers, _, _) = CANCELLING;
+    for n in 0..JOBS {
+        let number = new_job(&mut world, cancelled);
+        let scheduler = n as usize % schedulers;
+        let at = n * JOB_GAP_US;
+        world.plan(at, Planned::Submit(number, scheduler));
+        if cancelled {
+            world.plan(at + JOB_US, Planned::Cancel(number, scheduler));
+        }
+    }
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.witness.violation, None);
+    let traffic = (0..schedulers).map(|n| world.network.traffic_of(Node::Scheduler(n)));
+    let sum = |(frames, bytes): (u64, u64), t: Traffic| (frames + t.frames[0], bytes + t.bytes[0]);
+    traffic.fold((0, 0), sum)
+}
+
+/// Creates a job of two tasks that end after [`JOB_US`], or would go on for longer if it is to be cancelled.
+fn new_job(world: &mut World, cancelled: bool) -> JobNumber {
+    let number = world.callers.new_job(&mut world.rng, &mut world.witness);
+    let job = world.callers.jobs.get_mut(&number).expect("it is new");
+    job.fails = false;
+    job.work_us = if cancelled { 3 * JOB_US } else { JOB_US };
+    job.request.steps[0].estimate_ms = 300;
+    job.request.steps[0].count = 2;
+    job.submissions = 3;
+    let seen = world.witness.jobs.get_mut(&number).expect("it is new");
+    seen.tasks = 2;
+    number
+}
+
+/// A cancel goes to every executor. It must not cost each of them a message of its own, only some bytes in one that
+/// is sent anyway: a large fleet has hundreds of cancels a second.
+#[test]
+fn test_fleet_cost_cancels() {
+    let (frames, bytes) = sent_with_jobs(false);
+    let (frames_cancelled, bytes_cancelled) = sent_with_jobs(true);
+    let (_, executors, _) = CANCELLING;
+    let more_frames = frames_cancelled.saturating_sub(frames) / JOBS;
+    assert!(
+        more_frames < 15,
+        "{more_frames} more frames for each cancel"
+    );
+    let more_bytes = bytes_cancelled.saturating_sub(bytes) / JOBS;
+    let limit = executors as u64 * 10 + 300;
+    assert!(
+        more_bytes < limit,
+        "{more_bytes} more bytes for each cancel"
+    );
+}
