scheduler: keep the cancel of a job that is over as well

What callers saw, on the model: a job is complete at one entry, and its cancel is answered 200 there without being kept, as there is nothing left to end.

Cause: the entry knows that the job is over, but that knowledge is no more than a memory of its own, like the cancel was. UNASKED counts from the acknowledgement, whatever the job's state. Ruled out: answering 410, as that says that there is no such job, and would not keep it from running either.

Now such a cancel is kept and told like any other. A caller who comes again where the job has ended still gets how it ended. Test red before: test_cancel_of_ended_job_is_told. Price: 8 bytes for each linked executor and peer for cancels that come too late, which cost nothing before.

--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -19,21 +19,21 @@
     /// Cancels a job here, at all peers and at all executors, for a caller. Returns whether the job is known.
     pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
         self.advance_clock(now);
-        let held = self.jobs.contains_key(&number);
-        let cancelled = self.cancels.contains(number);
-        let over = !held && !cancelled && self.known_outcome(number).is_some();
-        if over || self.own_cancels.contains(number) {
+        if self.own_cancels.contains(number) {
             return true;
         }
+        let held = self.jobs.contains_key(&number);
+        // A job that is over may come again where nobody knows that, so its cancel is kept like any other.
+        let over = self.known_outcome(number).is_some();
         let known = held
-            || cancelled
+            || over
             || self.ended.contains_key(&number)
             || self.following.contains_key(&number)
             || self.announced.is_announced(number);
         if !known {
             return false;
         }
-        let reachable = held || self.linked_holder(number).is_some();
+        let reachable = held || over || self.linked_holder(number).is_some();
         self.own_cancels.insert(self.now, number);
         let dropped = self.cancels.insert(self.now, number);
         self.log_dropped_cancel(dropped);
--- a/lib/tests/runner/test_scheduler/cancels.rs
+++ b/lib/tests/runner/test_scheduler/cancels.rs
@@ -217,6 +217,21 @@
     assert_eq!(bench.cancels_told(), [7]);
 }
 
+/// A job that is over may come again at an entry that does not know that: its cancel is kept as well.
+#[test]
+fn test_cancel_of_ended_job_is_told() {
+    let mut bench = Bench::ready();
+    bench.submit(1, NUMBER.0, 1);
+    bench.end_task(task(NUMBER.0, 0), 1, EndKind::Done);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
+    assert!(bench.cancel());
+    bench.run_on(100);
+    assert_eq!(bench.cancels_told(), [7]);
+    bench.submit(2, NUMBER.0, 1);
+    let again = (2, JobOutcome::Completed);
+    assert_eq!(bench.answers().last(), Some(&again), "it is complete");
+}
+
 /// The scheduler that has a job and was frozen during its cancel learns of it from the first executor.
 #[test]
 fn test_cancel_learned_by_holder() {
