scheduler: promise nothing for a cancel that nobody else could be told

Beside it, read: a cancel of a job of another partition whose entries could not be asked, or which this process gave up as it left, was answered 410, though the job may exist.

Cause: a cancel had two answers, known or not.

Nothing changes for an entry that is linked.

--- a/lib/daemon/src/dispatch/forwarder_host.rs
+++ b/lib/daemon/src/dispatch/forwarder_host.rs
@@ -295,12 +295,8 @@
             }
         }
         for cancel in forward.cancels {
-            let known = host.with(|s, now| s.cancel(now, JobNumber(cancel.job)));
-            let outcome = match known {
-                true => JobOutcome::Cancelled,
-                false => JobOutcome::Unknown,
-            };
-            host.send_reply(link, Some((cancel.caller, outcome)));
+            let reply = host.with(|s, now| s.cancel(now, JobNumber(cancel.job)));
+            host.send_reply(link, Some((cancel.caller, reply.outcome())));
         }
     }
 
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use stackcourse_lib::dispatch::cancels::CancelReply;
 use stackcourse_lib::dispatch::forwarder::Forwarder;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::model::JobOutcome;
@@ -264,10 +265,10 @@
         }
     }
 
-    /// Cancels a job. Returns whether it was known.
-    pub async fn cancel(&self, number: JobNumber) -> bool {
+    /// Cancels a job.
+    pub async fn cancel(&self, number: JobNumber) -> CancelReply {
         match self.forwarder_for(number) {
-            Some(forwarder) => forwarder.cancel(number).outcome().await == JobOutcome::Cancelled,
+            Some(forwarder) => CancelReply::from_outcome(forwarder.cancel(number).outcome().await),
             None => self.with(|s, now| s.cancel(now, number)),
         }
     }
--- a/lib/src/dispatch/cancels.rs
+++ b/lib/src/dispatch/cancels.rs
@@ -7,10 +7,42 @@
 use std::collections::BTreeSet;
 
 use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
 use crate::dispatch::policy::Claims;
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
+/// The reply to a cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelReply {
+    /// The cancel is kept: the job ends, and no task of it is started any more.
+    Accepted,
+    /// There is no such job.
+    UnknownJob,
+    /// Nothing is promised: no process could be told that keeps the cancel if this one is lost.
+    Uncertain,
+}
+
+impl CancelReply {
+    /// Returns the outcome that reports the reply to a forwarder.
+    pub fn outcome(self) -> JobOutcome {
+        match self {
+            CancelReply::Accepted => JobOutcome::Cancelled,
+            CancelReply::UnknownJob => JobOutcome::Unknown,
+            CancelReply::Uncertain => JobOutcome::GivenUp,
+        }
+    }
+
+    /// Returns the reply that an outcome from a forwarder reports.
+    pub fn from_outcome(outcome: JobOutcome) -> CancelReply {
+        match outcome {
+            JobOutcome::Cancelled => CancelReply::Accepted,
+            JobOutcome::Unknown => CancelReply::UnknownJob,
+            _ => CancelReply::Uncertain,
+        }
+    }
+}
+
 /// Cancelled jobs, each until its cancel is forgotten.
 ///
 /// The time that remains goes along when another process is told of a cancel, so that processes that tell each
--- a/lib/src/dispatch/forwarder.rs
+++ b/lib/src/dispatch/forwarder.rs
@@ -191,14 +191,14 @@
         now.since(self.last_request)
     }
 
-    /// Answers all open requests with [`JobOutcome::Unknown`], since the process ends.
+    /// Answers all open requests as without a result, since the process ends.
     pub fn abandon(&mut self, now: Mono) {
         self.advance_clock(now);
         for (caller, call) in std::mem::take(&mut self.calls) {
             let number = call.number();
             self.log(Kind::ForwardFailed, format!("{number} leaving"));
-            self.actions
-                .push(Action::Answer(caller, JobOutcome::Unknown));
+            let outcome = call.outcome_if_lost();
+            self.actions.push(Action::Answer(caller, outcome));
         }
     }
 
@@ -221,8 +221,9 @@
         self.accept(now, caller, Request::Job(request));
     }
 
-    /// Cancels a job of another partition. The caller is answered [`JobOutcome::Cancelled`] if the job is
-    /// known there, and [`JobOutcome::Unknown`] if it is not.
+    /// Cancels a job of another partition. The caller is answered what
+    /// [`CancelReply::outcome`](crate::dispatch::cancels::CancelReply::outcome) makes of the reply there;
+    /// [`JobOutcome::GivenUp`] if no scheduler could be asked.
     pub fn cancel(&mut self, now: Mono, caller: CallerId, number: JobNumber) {
         self.accept(now, caller, Request::Cancel(number));
     }
--- a/lib/src/dispatch/forwarder/calls.rs
+++ b/lib/src/dispatch/forwarder/calls.rs
@@ -8,6 +8,7 @@
 use super::Forwarder;
 use super::targets::Loss;
 use super::targets::TargetKey;
+use crate::dispatch::cancels::CancelReply;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
@@ -69,6 +70,14 @@
         self.request.number()
     }
 
+    /// Returns the outcome if the answer is lost: a job may run, and a job to be cancelled may exist.
+    pub fn outcome_if_lost(&self) -> JobOutcome {
+        match self.request {
+            Request::Job(_) => JobOutcome::Unknown,
+            Request::Cancel(_) => CancelReply::Uncertain.outcome(),
+        }
+    }
+
     /// Returns the scheduler that has the request and has not answered it.
     pub fn sent_to(&self) -> Option<TargetKey> {
         self.sent_at.and(self.target)
@@ -165,7 +174,7 @@
         let outcome = if untried {
             JobOutcome::Refused(self.setup.admission.retry_delay_ms(&mut self.rng))
         } else {
-            JobOutcome::Unknown
+            call.outcome_if_lost()
         };
         let number = call.request.number();
         let detail = format!("{number} no scheduler of partition {}", call.partition);
--- a/lib/src/dispatch/forwarder/tests.rs
+++ b/lib/src/dispatch/forwarder/tests.rs
@@ -4,6 +4,7 @@
 use assert_matches::assert_matches;
 
 use super::*;
+use crate::dispatch::cancels::CancelReply;
 use crate::dispatch::policy::Policy;
 
 fn time_at(ms: u64) -> Mono {
@@ -333,6 +334,31 @@
     );
 }
 
+/// That nobody can be asked is no proof that there is no such job.
+#[test]
+fn test_forwarder_cancel_without_answer() {
+    let mut harness = Harness::new();
+    let number = harness.job(0).number;
+    harness.forwarder.cancel(time_at(0), CallerId(9), number);
+    for name in [
+        harness.near.clone(),
+        harness.far[0].clone(),
+        harness.far[1].clone(),
+    ] {
+        harness.forwarder.connect_failed(time_at(10), &name);
+    }
+    let answer = Action::Answer(CallerId(9), JobOutcome::GivenUp);
+    assert!(harness.take_actions().contains(&answer));
+    assert_eq!(
+        CancelReply::from_outcome(JobOutcome::GivenUp),
+        CancelReply::Uncertain
+    );
+    let mut harness = Harness::new();
+    harness.forwarder.cancel(time_at(0), CallerId(9), number);
+    harness.forwarder.abandon(time_at(20));
+    assert!(harness.take_actions().contains(&answer));
+}
+
 #[test]
 fn test_forwarder_idle_link() {
     let mut harness = Harness::new();
--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -9,6 +9,7 @@
 use super::Action;
 use super::Scheduler;
 use super::executors::ExecutorKey;
+use crate::dispatch::cancels::CancelReply;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::event::Kind;
@@ -16,11 +17,11 @@
 use crate::protos::dispatch as proto;
 
 impl Scheduler {
-    /// Cancels a job here, at all peers and at all executors, for a caller. Returns whether the job is known.
-    pub fn cancel(&mut self, now: Mono, number: JobNumber) -> bool {
+    /// Cancels a job here, at all peers and at all executors, for a caller.
+    pub fn cancel(&mut self, now: Mono, number: JobNumber) -> CancelReply {
         self.advance_clock(now);
         if self.own_cancels.contains(number) {
-            return true;
+            return self.cancel_reply();
         }
         let held = self.jobs.contains_key(&number);
         // A job that is over may come again where nobody knows that, so its cancel is kept like any other.
@@ -31,7 +32,7 @@
             || self.following.contains_key(&number)
             || self.announced.is_announced(number);
         if !known {
-            return false;
+            return CancelReply::UnknownJob;
         }
         let reachable = held || over || self.linked_holder(number).is_some();
         self.own_cancels.insert(self.now, number);
@@ -41,7 +42,17 @@
         self.pass_cancel_on(number);
         self.cancel_at_executors(number, !reachable);
         self.place();
-        true
+        self.cancel_reply()
+    }
+
+    /// Returns what may be promised for a cancel that is kept here.
+    fn cancel_reply(&self) -> CancelReply {
+        let executors = self.executors.values().any(|e| e.link.is_some());
+        let peers = self.peers.values().any(|p| p.link.is_some());
+        match executors || peers {
+            true => CancelReply::Accepted,
+            false => CancelReply::Uncertain,
+        }
     }
 
     /// Keeps a cancel that another process has told of, and ends the job here.
--- a/lib/tests/runner/test_scheduler/cancels.rs
+++ b/lib/tests/runner/test_scheduler/cancels.rs
@@ -1,12 +1,13 @@
 //! Tests of cancelled jobs: a cancel that was acknowledged holds wherever the job runs or comes back.
 
 use super::*;
+use stackcourse_lib::dispatch::cancels::CancelReply;
 use stackcourse_lib::event::Kind;
 
 const NUMBER: JobNumber = JobNumber(7);
 
 impl Bench {
-    fn cancel(&mut self) -> bool {
+    fn cancel(&mut self) -> CancelReply {
         let reply = self.scheduler.cancel(self.now, NUMBER);
         self.collect_actions();
         reply
@@ -77,7 +78,7 @@
 #[test]
 fn test_cancel_peer_freezes() {
     let mut bench = Bench::following();
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     assert_eq!(bench.answers(), [(1, JobOutcome::Cancelled)]);
     bench.actions.clear();
     bench.run_on(4000);
@@ -107,7 +108,7 @@
 fn test_cancel_told_on_new_link() {
     let mut bench = Bench::ready();
     bench.submit(1, NUMBER.0, 1);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.run_on(10_000);
     bench.link(PEER, "s2", false);
     bench.advance(20);
@@ -124,7 +125,7 @@
     let caller = CallerId(1);
     bench.scheduler.caller_left(bench.now, caller, NUMBER);
     bench.announce_on(PEER, NUMBER.0);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.advance(20);
     assert_eq!(bench.cancels(PEER), [7]);
 }
@@ -138,8 +139,8 @@
     bench.submit(1, NUMBER.0, 1);
     assert_matches!(bench.answers()[..], [(1, JobOutcome::Refused(_))]);
     bench.announce_on(PEER, NUMBER.0);
-    assert!(bench.cancel());
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.advance(20);
     assert_eq!(bench.cancels(PEER), [7]);
     bench.actions.clear();
@@ -153,7 +154,7 @@
     let mut bench = Bench::ready();
     bench.submit(1, NUMBER.0, 1);
     assert_eq!(bench.starts(), [(7, 0, 1)]);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.scheduler.link_down(bench.now, EXECUTOR);
     bench.actions.clear();
     bench.link(EXECUTOR, "e1", true);
@@ -198,7 +199,7 @@
     bench.send_update_on(OTHER_EXECUTOR, proto::Update::default());
     bench.advance(20);
     bench.submit(1, NUMBER.0, 1);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.run_on(100);
     let told = bench.orders().into_iter().filter(|o| o.cancel == [7]);
     assert_eq!(told.count(), 2, "each executor once, with its next orders");
@@ -212,7 +213,7 @@
     bench.scheduler.link_down(bench.now, PEER);
     bench.collect_actions();
     bench.actions.clear();
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.advance(20);
     assert_eq!(bench.cancels_told(), [7]);
 }
@@ -224,7 +225,7 @@
     bench.submit(1, NUMBER.0, 1);
     bench.end_task(task(NUMBER.0, 0), 1, EndKind::Done);
     assert_eq!(bench.answers(), [(1, JobOutcome::Completed)]);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.run_on(100);
     assert_eq!(bench.cancels_told(), [7]);
     bench.submit(2, NUMBER.0, 1);
@@ -310,7 +311,7 @@
     let mut bench = Bench::ready();
     bench.link(PEER, "s2", false);
     bench.submit(1, NUMBER.0, 1);
-    assert!(bench.cancel());
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
     bench.send_peer_update(proto::PeerUpdate {
         cancel: vec![8],
         ..proto::PeerUpdate::default()
@@ -355,3 +356,25 @@
     assert_eq!(bench.answers(), [], "the job is new by now");
     assert_eq!(bench.starts(), [(7, 0, 1)]);
 }
+
+/// A scheduler that no other process is linked to can tell nobody, and would take the cancel with it: it
+/// promises nothing, but tells the next one that links.
+#[test]
+fn test_cancel_unlinked_promises_nothing() {
+    let mut bench = Bench::ready();
+    bench.submit(1, NUMBER.0, 1);
+    bench.scheduler.link_down(bench.now, EXECUTOR);
+    assert_eq!(bench.cancel(), CancelReply::Uncertain);
+    assert_eq!(bench.answers(), [(1, JobOutcome::Cancelled)]);
+    bench.link(EXECUTOR, "e1", true);
+    bench.advance(20);
+    assert_eq!(bench.cancels_told(), [7]);
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
+}
+
+/// A job that nobody has told of can't be cancelled.
+#[test]
+fn test_cancel_of_unknown_job() {
+    let mut bench = Bench::ready();
+    assert_eq!(bench.cancel(), CancelReply::UnknownJob);
+}
--- a/lib/tests/runner/test_scheduler/links.rs
+++ b/lib/tests/runner/test_scheduler/links.rs
@@ -2,6 +2,7 @@
 //! lost with a link is sent again, and no caller is left waiting.
 
 use super::*;
+use stackcourse_lib::dispatch::cancels::CancelReply;
 
 const SECOND: LinkId = LinkId(12);
 
@@ -136,7 +137,8 @@
 #[test]
 fn test_link_cancel_repeated() {
     let mut bench = following_over_two_links();
-    assert!(bench.scheduler.cancel(bench.now, JobNumber(7)));
+    let reply = bench.scheduler.cancel(bench.now, JobNumber(7));
+    assert_eq!(reply, CancelReply::Accepted);
     bench.advance(20);
     assert_eq!(bench.cancels(SECOND), [7]);
     bench.scheduler.link_down(bench.now, SECOND);
--- a/lib/testutils/src/dispatch/world/requests.rs
+++ b/lib/testutils/src/dispatch/world/requests.rs
@@ -1,5 +1,6 @@
 //! The requests of callers: submissions, cancels, repeated submissions, and the answers to them.
 
+use stackcourse_lib::dispatch::cancels::CancelReply;
 use stackcourse_lib::dispatch::model::JobRequest;
 
 use super::*;
@@ -44,9 +45,9 @@
     }
 
     fn handle_cancel(&mut self, scheduler: usize, number: JobNumber) {
-        let mut known = false;
-        self.with_scheduler(scheduler, |s, now| known = s.cancel(now, number));
-        if known {
+        let mut reply = CancelReply::UnknownJob;
+        self.with_scheduler(scheduler, |s, now| reply = s.cancel(now, number));
+        if reply == CancelReply::Accepted {
             let text = format!("cancel of {number} acknowledged");
             self.print(Node::Scheduler(scheduler), &text);
             self.witness.record_cancel(number, self.now);
