scheduler: cancel at once at executors where the peer that has the job is silent

An entry that takes a cancel leaves it to a linked peer to end the job, and tells the executors with its next orders.

Now a peer that was not heard for claims.pause (250 ms; it sends something each 100) does not count, and the executors are told as where it can't be reached. Test red before: test_cancel_of_silent_holder_is_urgent. What it costs: one message to each executor for a cancel in the 450 ms in which a peer is silent and not yet given up.

--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -34,7 +34,7 @@
         if !known {
             return CancelReply::UnknownJob;
         }
-        let reachable = held || over || self.linked_holder(number).is_some();
+        let reachable = held || over || self.hears_holder(number);
         self.own_cancels.insert(self.now, number);
         let dropped = self.cancels.insert(self.now, number);
         self.log_dropped_cancel(dropped);
@@ -45,6 +45,17 @@
         self.cancel_reply()
     }
 
+    /// Returns whether a peer that has announced the job is linked and was heard just now, so that it ends the job
+    /// itself. One that is silent may be frozen.
+    fn hears_holder(&self, number: JobNumber) -> bool {
+        let bound = self.setup.policy.claims.pause;
+        let mut holders = self.announced.holders(number);
+        holders.any(|name| {
+            let peer = self.peers.get(name);
+            peer.is_some_and(|p| p.link.is_some() && self.silence(p.last_heard) < bound)
+        })
+    }
+
     /// Returns what may be promised for a cancel that is kept here.
     fn cancel_reply(&self) -> CancelReply {
         let executors = self.executors.values().any(|e| e.link.is_some());
--- a/lib/tests/runner/test_scheduler/cancels.rs
+++ b/lib/tests/runner/test_scheduler/cancels.rs
@@ -218,6 +218,19 @@
     assert_eq!(bench.cancels_told(), [7]);
 }
 
+/// The same while the peer is still linked, but was not heard for some time: it may be frozen.
+#[test]
+fn test_cancel_of_silent_holder_is_urgent() {
+    let mut bench = Bench::following();
+    bench.run_on(400);
+    bench.actions.clear();
+    assert_eq!(bench.cancel(), CancelReply::Accepted);
+    bench.advance(20);
+    assert_eq!(bench.cancels_told(), [7]);
+    bench.run_on(100);
+    assert_eq!(bench.cancels_told(), [7], "once");
+}
+
 /// A job that is over may come again at an entry that does not know that: its cancel is kept as well.
 #[test]
 fn test_cancel_of_ended_job_is_told() {
