scheduler: a claim reaches the executors of unheard peers, too

Cause: a job that nobody has announced is claimed only at the executors that list a peer whose link was lost within half a second. A second peer had not been heard for 1.8 s and had the job at an executor that was not asked. Evidence: at the claim the scheduler asked the two executors that list scheduler-1 (link lost 226 ms before), not executor 3, which lists scheduler-2 (unlinked, heard 1,838 ms before) and ran the task. Ruled out: cancels (none are drawn), leases (executor 3 ended that of scheduler-2 44 ms after the claim, as it should).

Now the narrow claim is made only if no peer is unheard. Fleets of one cell ask all executors in any case.

--- a/lib/src/dispatch/scheduler/claims.rs
+++ b/lib/src/dispatch/scheduler/claims.rs
@@ -55,10 +55,13 @@
     /// again here before it was announced.
     pub(super) fn may_run_elsewhere(&mut self) -> bool {
         self.refresh_unreachable();
+        self.is_warming_up() || self.has_lost_link() || self.has_unheard_peer()
+    }
+
+    /// Returns whether a peer that may be running was not heard for `claims.unheard`, so that its jobs may be
+    /// submitted here unannounced.
+    fn has_unheard_peer(&self) -> bool {
         let now = self.now;
-        if self.is_warming_up() || self.has_lost_link() {
-            return true;
-        }
         let bound = self.setup.policy.claims.unheard;
         let unheard = |name: &String| now.since(self.last_heard(name)) >= bound;
         self.unreachable_peers.iter().any(unheard) || self.is_minority()
@@ -188,9 +191,11 @@
     pub(super) fn claim(&mut self, number: JobNumber) {
         self.refresh_unreachable();
         self.counts.claims += 1;
-        // No peer is known to have the job: only one whose link was lost may have it unannounced.
-        let unheard = !self.announced.is_announced(number) && !self.ended.contains_key(&number);
-        let lost = !self.is_warming_up() && unheard && self.has_lost_link();
+        // No peer is known to have the job, and none was unheard for long: only one whose link was lost just now may
+        // have it unannounced.
+        let unknown = !self.announced.is_announced(number) && !self.ended.contains_key(&number);
+        let lost =
+            !self.is_warming_up() && unknown && self.has_lost_link() && !self.has_unheard_peer();
         if !self.is_warming_up() && !lost && !self.reaches_required() {
             return self.end_unclaimable(number);
         }
--- a/lib/tests/runner/test_scheduler/cells.rs
+++ b/lib/tests/runner/test_scheduler/cells.rs
@@ -178,6 +178,38 @@
     assert_eq!(cells.started_at(), [cells.in_cell]);
 }
 
+/// Guards against a task that runs twice at once. One peer was lost just now, and another one was not heard for so
+/// long that its jobs may come here unannounced: it may have placed the job at any executor that lists it, not
+/// only where the first one has a lease.
+#[test]
+fn test_cell_claim_with_unheard_peer() {
+    let mut cells = Cells::ready();
+    // With this peer one of two executors stays a cell.
+    cells.bench.link(OTHER_PEER, "s4", false);
+    cells.bench.link(PEER, "s2", false);
+    cells.bench.send_peer_update(proto::PeerUpdate::default());
+    cells.bench.scheduler.link_down(cells.bench.now, PEER);
+    for _ in 0..8 {
+        for link in [THIRD_PEER, OTHER_PEER] {
+            cells
+                .bench
+                .send_peer_update_on(link, proto::PeerUpdate::default());
+        }
+        cells.report(cells.in_cell, vec!["s1".to_owned(), "s3".to_owned()]);
+        cells.report(cells.standby, vec!["s2".to_owned()]);
+        cells.bench.advance(100);
+    }
+    cells.bench.scheduler.link_down(cells.bench.now, THIRD_PEER);
+    cells.bench.actions.clear();
+    cells.bench.submit(1, 9, 1);
+    cells.bench.advance(20);
+    let mut asked = cells.claimed_at(9);
+    asked.sort_by_key(|link| link.0);
+    assert_eq!(asked, [EXECUTOR, OTHER_EXECUTOR]);
+    cells.confirm(cells.in_cell, 9);
+    assert_eq!(cells.started_at(), [], "the other one has not confirmed");
+}
+
 /// The executor was not heard for nearly a second when its link breaks: other schedulers may have renewed
 /// their leases there until then, and their runs go on until these expire.
 #[test]
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -73,6 +73,22 @@
     }
 }
 
+/// Guards against claims that reach only the executors of a peer whose link was lost just now, while another peer
+/// that is unheard has the job elsewhere.
+#[test]
+fn test_dispatch_run_narrow_claims() {
+    let report = run::run_plan(RunPlan {
+        seed: 63147,
+        span: SPAN,
+        cell: 2,
+        balance: true,
+        preempting: true,
+        losses: true,
+        ..RunPlan::default()
+    });
+    assert_eq!(report.violation, None);
+}
+
 /// Guards against jobs that are run although their cancel was acknowledged, because the scheduler that has
 /// them is lost.
 #[test]
