dispatch-run: restart workers at once under their ids, some cut off right then

The model's workers stayed down for seconds or until a fault replaced them, so no start could meet the next life.

--- a/lib/testutils/src/bin/dispatch-run.rs
+++ b/lib/testutils/src/bin/dispatch-run.rs
@@ -105,6 +105,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Let crashed workers restart under the same id"),
         )
+        .arg(
+            Arg::new("restarting")
+                .long("restarting")
+                .action(ArgAction::SetTrue)
+                .help("Also restart workers at once under the same id, some cut off right then"),
+        )
         .arg(
             Arg::new("suspend")
                 .long("suspend")
@@ -145,6 +151,7 @@
             duplicate_links: matches.get_flag("doubled"),
             recovering: matches.get_flag("recovering"),
             reuse_ids: matches.get_flag("reborn"),
+            restarting: matches.get_flag("restarting"),
             preempting: matches.get_flag("preempting"),
             balance: matches.get_flag("balance"),
             isolating: matches.get_flag("isolating"),
--- a/lib/testutils/src/dispatch/run.rs
+++ b/lib/testutils/src/dispatch/run.rs
@@ -3,6 +3,8 @@
 //! Draws jobs and faults from a seed, which reproduces the run, ends all faults after the planned span, and
 //! reports the first violation of an invariant and whether the plane recovers.
 
+mod faults;
+
 use rand::Rng;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_lib::dispatch::policy::Policy;
@@ -11,7 +13,6 @@
 use crate::dispatch::callers;
 use crate::dispatch::cancel_faults;
 use crate::dispatch::network::Node;
-use crate::dispatch::world::CAPACITY;
 use crate::dispatch::world::World;
 
 /// The result of a run.
@@ -65,6 +66,8 @@
 const LONG_SHARE: f64 = 0.2;
 /// The time that each task of such a job works, in milliseconds.
 const LONG_WORK_MS: u32 = 3_000;
+/// The probability per step that a worker restarts at once.
+const QUICK_RESTART_CHANCE: f64 = 0.04;
 /// The probability per step that one of the newest jobs is cancelled.
 const CANCEL_CHANCE: f64 = 0.1;
 /// The number of newest jobs of which one is cancelled.
@@ -129,6 +132,9 @@
     /// Whether executors are cut off from all schedulers while orders to their workers are late, and workers
     /// end connections in order instead of answering. Some tasks outlast the leases then.
     pub isolating: bool,
+    /// Whether workers restart at once under their old ids, some while their executors are cut off. Some tasks
+    /// outlast the leases then.
+    pub restarting: bool,
     /// Whether callers cancel jobs, some of them at other schedulers than they were submitted at and some
     /// amid faults. Requests wait for frozen schedulers then.
     pub cancelling: bool,
@@ -164,7 +170,7 @@
     if plan.recovering {
         world.unserved_share = UNSERVED_SHARE;
     }
-    if plan.reuse_ids {
+    if plan.reuse_ids || plan.restarting {
         world.keep_worker_ids();
     }
     if plan.isolating {
@@ -178,7 +184,8 @@
     while world.now < end && world.witness.violation.is_none() {
         let pause = world.rng.random_range(1..90);
         world.run(Duration::from_millis(pause));
-        let number = if plan.isolating && world.rng.random_bool(LONG_SHARE) {
+        let long = plan.isolating || plan.restarting;
+        let number = if long && world.rng.random_bool(LONG_SHARE) {
             submit_long_job(&mut world)
         } else {
             submit_job(&mut world)
@@ -191,7 +198,10 @@
             cancel_faults::plan(&mut world, number);
         }
         if plan.isolating && world.rng.random_bool(ISOLATION_CHANCE) {
-            isolate(&mut world);
+            faults::isolate(&mut world);
+        }
+        if plan.restarting && world.rng.random_bool(QUICK_RESTART_CHANCE) {
+            faults::restart_worker_quickly(&mut world);
         }
         if plan.preempting && world.rng.random_bool(BURST_CHANCE) {
             submit_burst(&mut world);
@@ -200,13 +210,13 @@
             make_crashing(&mut world, number);
         }
         if plan.resizing && world.rng.random_bool(RESIZE_CHANCE) {
-            resize(&mut world);
+            faults::resize(&mut world);
         }
         if plan.suspensions != Suspensions::None && world.rng.random_bool(SUSPENSION_CHANCE) {
-            suspend(&mut world, plan.suspensions == Suspensions::Counted);
+            faults::suspend(&mut world, plan.suspensions == Suspensions::Counted);
         }
         if plan.evacuating && world.rng.random_bool(EVACUATION_CHANCE) {
-            evacuate(&mut world);
+            faults::evacuate(&mut world);
         }
         if plan.leaving && world.rng.random_bool(LEAVE_CHANCE) {
             let n = world.rng.random_range(0..SCHEDULERS);
@@ -223,19 +233,19 @@
             }
         }
         if plan.duplicate_links && world.rng.random_bool(LINK_CHANCE) {
-            add_or_reset_link(&mut world);
+            faults::add_or_reset_link(&mut world);
         }
         if world.rng.random_bool(faults) {
-            inject_fault(&mut world);
+            faults::inject_fault(&mut world);
         }
         if plan.recovering && world.rng.random_bool(EXECUTOR_KILL_CHANCE) {
-            kill_executor(&mut world);
+            faults::kill_executor(&mut world);
         }
         if plan.losses && world.rng.random_bool(MASS_KILL_CHANCE) {
-            kill_many(&mut world, plan.reuse_ids);
+            faults::kill_many(&mut world, plan.reuse_ids);
         }
     }
-    end_faults(&mut world);
+    faults::end_faults(&mut world);
     let before = world.witness.completed;
     for _ in 0..RECOVERY_JOBS {
         submit_job(&mut world);
@@ -276,46 +286,6 @@
     }
 }
 
-/// Changes the capacity of a random worker to between a quarter and all of [`CAPACITY`].
-fn resize(world: &mut World) {
-    let (_, executors) = world.size();
-    let n = world.rng.random_range(0..executors);
-    let capacity = world.rng.random_range(CAPACITY / 4..=CAPACITY);
-    let now = world.now;
-    world.workers[n].resize(now, capacity);
-    world.print(Node::Executor(n), &format!("capacity {capacity}"));
-}
-
-/// Evacuates a random zone, or ends its evacuation. In a third of the calls the store serves other
-/// schedulers than before.
-fn evacuate(world: &mut World) {
-    if world.rng.random_bool(0.33) {
-        let (schedulers, _) = world.size();
-        let unserved = (0..schedulers).filter(|_| world.rng.random_bool(0.4));
-        let unserved = unserved.collect();
-        world.set_unserved(unserved);
-    }
-    let zone = format!("z{}", world.rng.random_range(0..ZONES));
-    let evacuated = !world.is_evacuated(&zone);
-    world.print(
-        Node::Scheduler(0),
-        &format!("{zone} evacuated: {evacuated}"),
-    );
-    world.set_evacuated(&zone, evacuated);
-}
-
-/// Suspends a random process for up to five seconds. In a quarter of the calls another one is suspended with
-/// it.
-fn suspend(world: &mut World, counted: bool) {
-    let span = world.rng.random_range(100_000..5_000_000);
-    let others = world.rng.random_bool(0.25);
-    for _ in 0..=u32::from(others) {
-        let node = random_node(world);
-        world.print(node, &format!("suspended for {span} us"));
-        world.suspend(node, span, counted);
-    }
-}
-
 /// Cancels a random one of the newest jobs at a random scheduler.
 fn cancel_job(world: &mut World, newest: JobNumber) {
     let back = world.rng.random_range(0..CANCEL_AMONG);
@@ -325,15 +295,6 @@
     world.cancel(number, at);
 }
 
-/// Cuts a random executor off from all schedulers for up to two and a half seconds.
-fn isolate(world: &mut World) {
-    let (_, executors) = world.size();
-    let n = world.rng.random_range(0..executors);
-    let span = world.rng.random_range(300_000..2_500_000);
-    world.print(Node::Executor(n), &format!("isolated for {span} us"));
-    world.isolate(n, span);
-}
-
 fn submit_job(world: &mut World) -> JobNumber {
     let number = world.callers.new_job(&mut world.rng, &mut world.witness);
     submit_anywhere(world, number)
@@ -370,130 +331,3 @@
         submit_job(world);
     }
 }
-
-fn random_node(world: &mut World) -> Node {
-    let (schedulers, executors) = world.size();
-    if world.rng.random_bool(0.5) {
-        Node::Scheduler(world.rng.random_range(0..schedulers))
-    } else {
-        Node::Executor(world.rng.random_range(0..executors))
-    }
-}
-
-fn inject_fault(world: &mut World) {
-    let node = random_node(world);
-    let (_, executors) = world.size();
-    let worker = world.rng.random_range(0..executors);
-    let kind = world.rng.random_range(0..13);
-    world.print(node, &format!("fault {kind}, worker {worker}"));
-    match kind {
-        0 | 1 => {
-            if world.is_node_up(node) {
-                let silent = world.rng.random_bool(0.5);
-                let downtime = world.rng.random_range(20_000..3_000_000);
-                world.kill(node, silent, downtime);
-            }
-        }
-        2 => {
-            let span = world.rng.random_range(50_000..4_000_000);
-            world.freeze(node, span);
-        }
-        3 | 4 => {
-            let other = random_node(world);
-            world.cut(node, other);
-            if world.rng.random_bool(0.6) {
-                world.cut(other, node);
-            }
-        }
-        5 => world.heal(),
-        6 => world.reset_links(node),
-        7 => world.crash_worker(worker),
-        8 => world.replace_worker(worker),
-        9 => {
-            let slowdown = world.rng.random_range(1.0..7.0);
-            world.workers[worker].slowdown = slowdown;
-        }
-        10 => world.workers[worker].is_failing = world.rng.random_bool(0.5),
-        11 => world.late_share = [0.0, 0.05, 0.2][world.rng.random_range(0..3)],
-        _ => world.lost_share = [0.0, 0.03, 0.1][world.rng.random_range(0..3)],
-    }
-}
-
-/// Adds a link between two linked schedulers, or resets one link of a scheduler.
-fn add_or_reset_link(world: &mut World) {
-    let (schedulers, _) = world.size();
-    let a = Node::Scheduler(world.rng.random_range(0..schedulers));
-    let b = Node::Scheduler(world.rng.random_range(0..schedulers));
-    if world.rng.random_bool(0.5) {
-        world.add_link(a, b);
-    } else {
-        world.reset_link(a);
-    }
-}
-
-/// Kills an executor without its peers learning of it. In a third of the calls a scheduler is killed with it
-/// and restarted soon.
-fn kill_executor(world: &mut World) {
-    let (schedulers, executors) = world.size();
-    let n = world.rng.random_range(0..executors);
-    let downtime = world.rng.random_range(400_000..2_500_000);
-    if world.is_node_up(Node::Executor(n)) {
-        world.kill(Node::Executor(n), true, downtime);
-    }
-    if world.rng.random_bool(0.33) {
-        let scheduler = Node::Scheduler(world.rng.random_range(0..schedulers));
-        let downtime = world.rng.random_range(100_000..900_000);
-        if world.is_node_up(scheduler) {
-            world.kill(scheduler, false, downtime);
-        }
-    }
-}
-
-/// Kills all schedulers, all executors, or all processes; each is restarted later. With `workers`, killing
-/// all processes also cuts the power of all workers.
-fn kill_many(world: &mut World, workers: bool) {
-    let (schedulers, executors) = world.size();
-    let which = world.rng.random_range(0..3);
-    let silent = world.rng.random_bool(0.5);
-    let killed = ["all schedulers", "all executors", "all processes"][which];
-    world.print(Node::Scheduler(0), &format!("{killed} are killed"));
-    if workers && which == 2 {
-        for number in 0..executors {
-            world.lose_power(number);
-        }
-    }
-    let nodes = (0..schedulers).map(Node::Scheduler);
-    let nodes = nodes.chain((0..executors).map(Node::Executor));
-    for node in nodes {
-        let spared = match node {
-            Node::Scheduler(_) => which == 1,
-            Node::Executor(_) => which == 0,
-        };
-        if !spared && world.is_node_up(node) {
-            let downtime = world.rng.random_range(100_000..1_600_000);
-            world.kill(node, silent, downtime);
-        }
-    }
-}
-
-/// Ends all faults and waits until their effects have passed.
-fn end_faults(world: &mut World) {
-    world.heal();
-    world.set_unserved(std::collections::BTreeSet::new());
-    for zone in (0..ZONES).map(|n| format!("z{n}")) {
-        if world.is_evacuated(&zone) {
-            world.set_evacuated(&zone, false);
-        }
-    }
-    world.late_share = 0.0;
-    world.lost_share = 0.0;
-    world.ended_share = 0.0;
-    let (_, executors) = world.size();
-    for number in 0..executors {
-        world.replace_worker(number);
-        world.workers[number].slowdown = 1.0;
-        world.workers[number].is_failing = false;
-        world.workers[number].resize(world.now, CAPACITY);
-    }
-    world.run(Duration::from_secs(14));
-}
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -14,7 +14,6 @@
 mod workers;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -204,8 +203,9 @@
     saved_heartbeats: Vec<Option<WorkerHeartbeat>>,
     /// The evacuated zones according to the store.
     evacuations: Evacuations,
-    /// The executors that are cut off from all schedulers while orders to their workers are late.
-    isolated: BTreeSet<usize>,
+    /// The executors that are cut off from all schedulers, with the share of orders to their workers that are late
+    /// meanwhile.
+    isolated: BTreeMap<usize, f64>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     incarnations: u64,
@@ -260,7 +260,7 @@
             executors: Vec::new(),
             saved_heartbeats: vec![None; executors],
             evacuations: Evacuations::default(),
-            isolated: BTreeSet::new(),
+            isolated: BTreeMap::new(),
             events: BTreeMap::new(),
             sequence: 0,
             incarnations: 0,
--- a/lib/testutils/src/dispatch/world/isolation.rs
+++ b/lib/testutils/src/dispatch/world/isolation.rs
@@ -4,19 +4,16 @@
 use crate::dispatch::world::Event;
 use crate::dispatch::world::World;
 
-/// The share of the orders that are late at the worker of an executor that is cut off.
-const LATE_SHARE: f64 = 0.5;
-
 impl World {
-    /// Cuts an executor off from all schedulers for `span` microseconds. Meanwhile half of the orders to its
+    /// Cuts an executor off from all schedulers for `span` microseconds. Meanwhile this share of the orders to its
     /// worker get no answer and are delivered late.
-    pub fn isolate(&mut self, executor: usize, span: u64) {
+    pub fn isolate(&mut self, executor: usize, span: u64, late_share: f64) {
         let (schedulers, _) = self.size();
         for scheduler in (0..schedulers).map(Node::Scheduler) {
             self.cut(scheduler, Node::Executor(executor));
             self.cut(Node::Executor(executor), scheduler);
         }
-        self.isolated.insert(executor);
+        self.isolated.insert(executor, late_share);
         self.schedule(span, Event::Reconnect(executor));
     }
 
@@ -33,9 +30,7 @@
 
     /// Returns the share of orders to a worker that are late.
     pub(super) fn late_share_of(&self, executor: usize) -> f64 {
-        match self.isolated.contains(&executor) {
-            true => LATE_SHARE,
-            false => self.late_share,
-        }
+        let isolated = self.isolated.get(&executor);
+        isolated.copied().unwrap_or(self.late_share)
     }
 }
--- a/lib/testutils/src/dispatch/world/workers.rs
+++ b/lib/testutils/src/dispatch/world/workers.rs
@@ -263,8 +263,13 @@
 
     /// Crashes a worker and restarts it later.
     pub fn lose_power(&mut self, number: usize) {
+        self.restart_quickly(number, CRASH_RESTART_US);
+    }
+
+    /// Crashes a worker and restarts it after `downtime` microseconds.
+    pub fn restart_quickly(&mut self, number: usize, downtime: u64) {
         self.crash_worker(number);
-        self.schedule(CRASH_RESTART_US, Event::RestartWorker(number));
+        self.schedule(downtime, Event::RestartWorker(number));
     }
 
     /// Crashes the worker of a run, if both are still there.
