executor: a start answered by the next life of the worker runs there

The executor kept over a restart the runs that are listed or not answered yet, but one that was answered and is not listed counted as gone with the life before: its crash was counted for the task, the task was placed again, and the run in the new life was stopped as unknown. The log did not tell which life a start had reached.

The answer does tell: it carries the worker's clock, which never goes back within a life and begins anew with the next. One below the reading that was known when the start was sent comes from a later life: SC441 says so with both readings, the run is kept over the restart, and the crash before does not count for it. SC430 names the life that an unanswered start was meant for.

--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -382,6 +382,18 @@
         incarnation.unwrap_or_default()
     }
 
+    /// Returns the worker's current incarnation for a log line.
+    fn incarnation_name(&self) -> String {
+        let worker = self.worker.as_ref();
+        worker.map_or_else(String::new, |w| w.heartbeat.incarnation.to_string())
+    }
+
+    /// Returns the reading of the worker's clock in its last answer, in milliseconds; 0 if unknown.
+    fn worker_reading(&self) -> u64 {
+        let clock = self.worker.as_ref().and_then(|w| w.clock);
+        clock.map_or(0, |(ms, _)| ms)
+    }
+
     fn capacity(&self) -> Demand {
         let capacity = self.worker.as_ref().map(|w| w.heartbeat.capacity);
         capacity.unwrap_or_default()
--- a/lib/src/dispatch/executor/incarnations.rs
+++ b/lib/src/dispatch/executor/incarnations.rs
@@ -311,8 +311,9 @@
         self.adopt_worker(now, heartbeat, last_heartbeat);
     }
 
-    /// Returns the runs that the lists contain, and those whose start is not confirmed: a worker that has
-    /// restarted under the same id may have accepted them.
+    /// Returns the runs that the lists contain, those whose start is not confirmed, and those whose start was
+    /// confirmed by a later incarnation: a worker that has restarted under the same id may have accepted them, or
+    /// has. The lists may be older than that answer.
     fn surviving_runs(&self, reply: &HoldReply) -> Vec<TaskName> {
         let HoldReply::Lists {
             running, finished, ..
@@ -325,7 +326,7 @@
         let listed: Vec<RunName> = listed.collect();
         let found = self.runs.iter().filter(|(task, run)| {
             let shown = |name: &RunName| name.task == **task && name.run == run.run;
-            run.state == RunState::Starting || listed.iter().any(shown)
+            run.state == RunState::Starting || run.in_later || listed.iter().any(shown)
         });
         found.map(|(task, _)| *task).collect()
     }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -59,6 +59,10 @@
     /// The run's number at the worker, at least the attempt.
     pub run: u32,
     pub state: RunState,
+    /// The worker's clock as read before its start was last sent, in milliseconds.
+    pub sent_clock: u64,
+    /// Whether its start was answered by a later incarnation of the worker than the one that it was sent to.
+    pub in_later: bool,
     pub demand: Demand,
     pub estimate: Duration,
     /// When its first start was sent.
@@ -215,6 +219,8 @@
             abandoned: None,
             run: queued.attempt,
             state: RunState::Starting,
+            sent_clock: 0,
+            in_later: false,
             demand: queued.demand,
             estimate: queued.estimate,
             started_at: now,
@@ -245,9 +251,12 @@
         // Without this a start would name no deadline, and could be carried out at any time.
         debug_assert!(self.can_keep_runs(now), "{task} is started unrenewed");
         let deadline_ms = self.extend_deadline(now, self.setup.policy.orders.start_within);
-        let run = &self.runs[&task];
+        let incarnation = self.worker_id();
+        let sent_clock = self.worker_reading();
+        let run = self.runs.get_mut(&task).expect("run exists");
+        run.sent_clock = sent_clock;
         let call = StartCall {
-            incarnation: self.worker_id(),
+            incarnation,
             run: RunName { task, run: run.run },
             spec: run.spec.clone(),
             deadline_ms,
@@ -268,13 +277,14 @@
             return;
         }
         match reply {
-            OrderReply::Done(_) => {
+            OrderReply::Done(clock_ms) => {
                 run.listed_by = self.holds_sent;
                 if run.state == RunState::Starting {
                     run.state = RunState::Running;
                     run.progressed_at = now;
                     run.pace_mark = (now, 0);
                 }
+                self.check_answering(name, clock_ms);
             }
             OrderReply::Refused(reason) => self.handle_start_refusal(now, name, reason),
             OrderReply::WrongLife => self.end_run(now, name.task, EndKind::Unavailable),
@@ -283,7 +293,8 @@
             OrderReply::NoAnswer if run.state == RunState::Running => {}
             OrderReply::NoAnswer => {
                 self.counts.unanswered_starts += 1;
-                let detail = format!("{} run {}", name.task, name.run);
+                let incarnation = self.incarnation_name();
+                let detail = format!("{} run {} to {incarnation}", name.task, name.run);
                 self.log(Kind::StartUnanswered, detail);
                 self.stop_run(now, name.task, EndKind::Stalled);
             }
@@ -291,6 +302,25 @@
         self.advance(now);
     }
 
+    /// Notes that a start was answered by a later incarnation than the one that it was sent to. The worker's clock
+    /// never goes back within an incarnation, and begins anew with the next one.
+    fn check_answering(&mut self, name: RunName, clock_ms: u64) {
+        let Some(run) = self.runs.get_mut(&name.task) else {
+            return;
+        };
+        if clock_ms >= run.sent_clock || run.in_later {
+            return;
+        }
+        run.in_later = true;
+        let sent_clock = run.sent_clock;
+        let incarnation = self.incarnation_name();
+        let detail = format!(
+            "{} run {}: sent to {incarnation} at {sent_clock} ms of its clock, answered at {clock_ms} ms",
+            name.task, name.run,
+        );
+        self.log(Kind::StartInNextLife, detail);
+    }
+
     /// Ends a run whose start was never sent, unless the worker lists the run.
     fn handle_unsent_start(&mut self, now: Mono, name: RunName) {
         let why = match self.runs[&name.task].state {
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -123,6 +123,7 @@
     StartUnsent = 438, Info, "a start was not sent, since the worker accepts no connections; the task is returned";
     RenewalsWithheld = 439, Warn, "the worker's runs are left to expire, because one that no lease covers may still be there";
     CancelledRefused = 440, Info, "a task was not started, since its job was cancelled; the scheduler is told";
+    StartInNextLife = 441, Info, "a start was answered by a later incarnation of the worker than the one that it was sent to";
     BacklogGrew = 460, Info, "work waits for free capacity";
     BacklogCleared = 461, Info, "no work waits for free capacity any more";
     WorkAhead = 462, Info, "the backlog ahead of a job that is refused or given up";
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -137,7 +137,7 @@
     bench.order_start(ONE, 2, &[0]);
     bench.order_start(ONE, 3, &[0]);
     for job in [2, 3] {
-        let reply = OrderReply::Done(1);
+        let reply = OrderReply::Done(1500);
         bench
             .executor
             .handle_start_reply(bench.now, run(job, 0, 1), reply);
@@ -154,6 +154,30 @@
     assert_eq!(bench.ends(ONE)[2..], [(3, EndKind::Done)]);
 }
 
+/// A start was answered by the new incarnation, and the lists that reveal it are older than that answer: the run is
+/// there. It must not be ended, or it would run a second time elsewhere, and the crash of the incarnation before
+/// must not count for it.
+#[test]
+fn test_executor_restarted_worker_answers_start() {
+    let mut bench = Bench::after_ends();
+    bench.order_start(ONE, 2, &[0]);
+    bench
+        .executor
+        .handle_start_reply(bench.now, run(2, 0, 1), OrderReply::Done(3));
+    bench.send_heartbeat_from(200, false, 1);
+    bench.report_lists_from(200, &[], Vec::new());
+    assert_eq!(bench.ends(ONE).len(), 1, "only the end before");
+    bench.advance(20);
+    bench.report_lists_from(200, &[run(2, 0, 1)], Vec::new());
+    assert_eq!(bench.sent_stops(), [], "it is not unknown");
+    let end = finished(1, run(2, 0, 1), RunEnd::Done);
+    bench.report_lists_from(200, &[], vec![end]);
+    assert_eq!(bench.ends(ONE)[1..], [(2, EndKind::Done)]);
+    let updates = bench.updates(ONE);
+    let ends = updates.iter().flat_map(|u| u.ends.iter());
+    assert!(ends.into_iter().all(|e| e.crashes.is_none()));
+}
+
 /// The lists reveal the new incarnation before its first heartbeat. Its capacity may be smaller, so nothing
 /// is started.
 #[test]
