executor: late starts of before a restart are fenced off

It had restarted under its id; a start that was meant for the life before was left without an answer and carried out 2.9 s later in the new one. On that life's clock its deadline is far ahead, so it was not refused as late, and the stop that follows an unanswered start had gone when the run counted as lost with the life before.

Now the fencing token rises by one when a new life under the same id is adopted, and the next hold, within 45 ms, shows it to the worker: starts of before are refused there. One that is still under way is refused and sent again, as after any refusal by the token.

--- a/lib/src/dispatch/executor/incarnations.rs
+++ b/lib/src/dispatch/executor/incarnations.rs
@@ -299,6 +299,9 @@
     ) {
         let same_id = self.worker_id() == heartbeat.incarnation.id;
         let kept = if same_id {
+            // Starts that were sent before the restart was known may still be carried out, seconds later: their
+            // deadlines are far ahead on the new clock and refuse nothing.
+            self.fence += 1;
             self.surviving_runs(reply)
         } else {
             Vec::new()
--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -178,6 +178,27 @@
     assert!(ends.into_iter().all(|e| e.crashes.is_none()));
 }
 
+/// A start that was sent before the restart was known may be carried out seconds later. On the clock of the new
+/// incarnation its deadline is far ahead, so only a higher fencing token makes the worker refuse it.
+#[test]
+fn test_executor_restarted_worker_fences_late_starts() {
+    let mut bench = Bench::after_ends();
+    bench.order_start(ONE, 2, &[0]);
+    let fence_of = |bench: &Bench| {
+        let fences = bench.actions.iter().filter_map(|a| match a {
+            Action::Start(call) => Some(call.fence),
+            Action::Hold(call) => Some(call.fence),
+            _ => None,
+        });
+        fences.last().expect("a call")
+    };
+    let before = fence_of(&bench);
+    bench.send_heartbeat_from(200, false, 1);
+    bench.report_lists_from(200, &[], Vec::new());
+    bench.advance(20);
+    assert!(fence_of(&bench) > before);
+}
+
 /// The lists reveal the new incarnation before its first heartbeat. Its capacity may be smaller, so nothing
 /// is started.
 #[test]
