--- a/lib/tests/runner/test_executor/restarts.rs
+++ b/lib/tests/runner/test_executor/restarts.rs
@@ -185,12 +185,12 @@
     let mut bench = Bench::after_ends();
     bench.order_start(ONE, 2, &[0]);
     let fence_of = |bench: &Bench| {
-        let fences = bench.actions.iter().filter_map(|a| match a {
+        let fence = |a: &Action| match a {
             Action::Start(call) => Some(call.fence),
             Action::Hold(call) => Some(call.fence),
             _ => None,
-        });
-        fences.last().expect("a call")
+        };
+        bench.actions.iter().rev().find_map(fence).expect("a call")
     };
     let before = fence_of(&bench);
     bench.send_heartbeat_from(200, false, 1);
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -16,8 +16,10 @@
 mod links;
 mod preemption;
 mod recovery;
+mod refusals;
 mod slow_workers;
 mod speeds;
+mod startup_claims;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -209,6 +211,14 @@
         self.send_peer_update_on(link, update);
     }
 
+    /// Delivers the first executor's confirmation of the claim of job 7.
+    fn confirm_claim(&mut self) {
+        self.send_update(proto::Update {
+            claimed: vec![7],
+            ..proto::Update::default()
+        });
+    }
+
     /// Submits a job of one step with an estimate of 100 ms, whose tasks need one core each.
     fn submit(&mut self, caller: u64, number: u64, tasks: u32) {
         self.submit_estimated(caller, number, tasks, 100);
@@ -377,20 +387,6 @@
     assert_eq!(bench.answers(), [(1, JobOutcome::Failed)]);
 }
 
-#[test]
-fn test_scheduler_refusal_without_capacity() {
-    let mut bench = Bench::ready();
-    bench.submit(1, 1, 4);
-    bench.submit(2, 2, 4);
-    for _ in 0..20 {
-        bench.advance(20);
-    }
-    let answers = bench.answers();
-    assert_eq!(answers.len(), 1, "{answers:?}");
-    assert!(matches!(answers[0], (2, JobOutcome::Refused(ms)) if ms >= 400));
-    assert!(bench.starts().iter().all(|s| s.0 == 1));
-}
-
 #[test]
 fn test_scheduler_retry_after_unavailable_worker() {
     let mut bench = Bench::ready();
@@ -420,33 +416,6 @@
     assert_eq!(stops, 2);
 }
 
-#[test]
-fn test_scheduler_older_catalog() {
-    let mut bench = Bench::ready();
-    bench.scheduler.set_catalog(bench.now, catalog(9));
-    bench.scheduler.set_catalog(bench.now, catalog(8));
-    assert_eq!(bench.scheduler.version(), 9);
-    bench.link(PEER, "s2", false);
-    let older = serde_json::to_vec(&catalog(4)).expect("JSON");
-    bench.send_peer_update(proto::PeerUpdate {
-        catalog_version: 4,
-        catalog: older.into(),
-        ..proto::PeerUpdate::default()
-    });
-    assert_eq!(bench.scheduler.version(), 9);
-    let newer = serde_json::to_vec(&catalog(12)).expect("JSON");
-    bench.send_peer_update(proto::PeerUpdate {
-        catalog_version: 12,
-        catalog: newer.into(),
-        ..proto::PeerUpdate::default()
-    });
-    assert_eq!(
-        bench.scheduler.version(),
-        12,
-        "a newer catalog of a peer is applied"
-    );
-}
-
 #[test]
 fn test_scheduler_leaving_deadline() {
     let mut bench = Bench::ready();
@@ -459,62 +428,3 @@
     bench.submit(2, 2, 1);
     assert!(matches!(bench.answers()[..], [(2, JobOutcome::Refused(_))]));
 }
-
-#[test]
-fn test_scheduler_links_closed_after_pause() {
-    let mut bench = Bench::ready();
-    bench.now = bench.now + Duration::from_secs(3);
-    bench.report(Vec::new());
-    bench.submit(1, 7, 1);
-    assert!(bench.actions.contains(&Action::Close(EXECUTOR)));
-    assert_eq!(
-        bench.starts(),
-        [],
-        "reports queued during the pause are ignored"
-    );
-}
-
-/// Guards against updates that repeat the names of all executors whenever one links: in a fleet of ten
-/// schedulers, the messages grew with the square of the number of executors that join at once.
-#[test]
-fn test_scheduler_executor_announcements() {
-    let mut bench = Bench::ready();
-    bench.link(PEER, "s2", false);
-    bench.advance(20);
-    let names = |bench: &mut Bench| -> Vec<String> {
-        let sent = bench.actions.drain(..).filter_map(|action| match action {
-            Action::Send(PEER, body) => Some(*body),
-            _ => None,
-        });
-        let names = sent.flat_map(|body| match body {
-            Body::Peer(update) => update.executors,
-            _ => Vec::new(),
-        });
-        names.collect()
-    };
-    assert_eq!(names(&mut bench), ["e1"], "the first message lists all");
-    bench.link(OTHER_EXECUTOR, "e2", true);
-    bench.advance(20);
-    assert_eq!(names(&mut bench), ["e2"], "later ones list only new names");
-    bench.advance(200);
-    assert_eq!(names(&mut bench), [""; 0]);
-}
-
-/// Guards against an entry that accepts and announces a job although no executor is linked: a peer
-/// that could run the job would follow it there instead.
-#[test]
-fn test_scheduler_refusal_without_executors() {
-    let mut bench = Bench::ready();
-    bench.link(PEER, "s2", false);
-    bench.send_peer_update(proto::PeerUpdate::default());
-    bench.scheduler.link_down(bench.now, EXECUTOR);
-    bench.actions.clear();
-    bench.submit(1, 9, 1);
-    assert_matches!(bench.answers()[..], [(1, JobOutcome::Refused(_))]);
-    bench.advance(200);
-    let announced = bench.actions.iter().any(|a| match a {
-        Action::Send(_, body) => matches!(&**body, Body::Peer(update) if update.jobs == [9]),
-        _ => false,
-    });
-    assert!(!announced, "a peer may be able to run it");
-}
--- a/lib/tests/runner/test_scheduler/catalogs.rs
+++ b/lib/tests/runner/test_scheduler/catalogs.rs
@@ -161,3 +161,30 @@
     assert_eq!(asked(&mut bench), []);
     assert_eq!(bench.scheduler.version(), 9);
 }
+
+#[test]
+fn test_scheduler_older_catalog() {
+    let mut bench = Bench::ready();
+    bench.scheduler.set_catalog(bench.now, catalog(9));
+    bench.scheduler.set_catalog(bench.now, catalog(8));
+    assert_eq!(bench.scheduler.version(), 9);
+    bench.link(PEER, "s2", false);
+    let older = serde_json::to_vec(&catalog(4)).expect("JSON");
+    bench.send_peer_update(proto::PeerUpdate {
+        catalog_version: 4,
+        catalog: older.into(),
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(bench.scheduler.version(), 9);
+    let newer = serde_json::to_vec(&catalog(12)).expect("JSON");
+    bench.send_peer_update(proto::PeerUpdate {
+        catalog_version: 12,
+        catalog: newer.into(),
+        ..proto::PeerUpdate::default()
+    });
+    assert_eq!(
+        bench.scheduler.version(),
+        12,
+        "a newer catalog of a peer is applied"
+    );
+}
--- a/lib/tests/runner/test_scheduler/links.rs
+++ b/lib/tests/runner/test_scheduler/links.rs
@@ -157,3 +157,43 @@
     bench.advance(20);
     assert_eq!(bench.cancels(SECOND), [7, 7], "the job is forgotten");
 }
+
+#[test]
+fn test_scheduler_links_closed_after_pause() {
+    let mut bench = Bench::ready();
+    bench.now = bench.now + Duration::from_secs(3);
+    bench.report(Vec::new());
+    bench.submit(1, 7, 1);
+    assert!(bench.actions.contains(&Action::Close(EXECUTOR)));
+    assert_eq!(
+        bench.starts(),
+        [],
+        "reports queued during the pause are ignored"
+    );
+}
+
+/// Guards against updates that repeat the names of all executors whenever one links: in a fleet of ten
+/// schedulers, the messages grew with the square of the number of executors that join at once.
+#[test]
+fn test_scheduler_executor_announcements() {
+    let mut bench = Bench::ready();
+    bench.link(PEER, "s2", false);
+    bench.advance(20);
+    let names = |bench: &mut Bench| -> Vec<String> {
+        let sent = bench.actions.drain(..).filter_map(|action| match action {
+            Action::Send(PEER, body) => Some(*body),
+            _ => None,
+        });
+        let names = sent.flat_map(|body| match body {
+            Body::Peer(update) => update.executors,
+            _ => Vec::new(),
+        });
+        names.collect()
+    };
+    assert_eq!(names(&mut bench), ["e1"], "the first message lists all");
+    bench.link(OTHER_EXECUTOR, "e2", true);
+    bench.advance(20);
+    assert_eq!(names(&mut bench), ["e2"], "later ones list only new names");
+    bench.advance(200);
+    assert_eq!(names(&mut bench), [""; 0]);
+}
--- a/lib/testutils/tests/runner/test_dispatch_run.rs
+++ b/lib/testutils/tests/runner/test_dispatch_run.rs
@@ -73,6 +73,23 @@
     }
 }
 
+/// Guards against runs that are taken for lost, or started late, because the worker restarts under its id just as
+/// their starts are sent.
+#[test]
+fn test_dispatch_run_quick_restarts() {
+    for seed in [81035, 83017] {
+        let report = run::run_plan(RunPlan {
+            seed,
+            span: SPAN,
+            restarting: true,
+            isolating: true,
+            losses: true,
+            ..RunPlan::default()
+        });
+        assert_eq!(report.violation, None, "seed {seed}");
+    }
+}
+
 /// Guards against claims that reach only the executors of a peer whose link was lost just now, while another peer
 /// that is unheard has the job elsewhere.
 #[test]
