--- a/lib/src/dispatch/policy/claims.rs
+++ b/lib/src/dispatch/policy/claims.rs
@@ -32,8 +32,8 @@
         contest: ms = 2000, 1..=60_000;
         /// How long claims and the outcomes of jobs are remembered.
         memory: ms = 20_000, 1..=3_600_000;
-        /// The maximum number of cancelled jobs that are remembered, for the same time. It bounds the memory
-        /// that they take, and the first message on each link between schedulers.
+        /// The maximum number of cancelled jobs that schedulers and executors remember, for the same time. It
+        /// bounds the memory that they take, and the first messages on links.
         cancels: count = 4000, 1..=1_000_000;
         /// A process that has not run for this long counts as having been paused.
         pause: ms = 250, 1..=60_000;
