--- a/lib/src/dispatch/executor/incarnations.rs
+++ b/lib/src/dispatch/executor/incarnations.rs
@@ -329,7 +329,7 @@
         let listed: Vec<RunName> = listed.collect();
         let found = self.runs.iter().filter(|(task, run)| {
             let shown = |name: &RunName| name.task == **task && name.run == run.run;
-            run.state == RunState::Starting || run.in_later || listed.iter().any(shown)
+            run.state == RunState::Starting || run.later_life || listed.iter().any(shown)
         });
         found.map(|(task, _)| *task).collect()
     }
--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -62,7 +62,7 @@
     /// The worker's clock as read before its start was last sent, in milliseconds.
     pub sent_clock: u64,
     /// Whether its start was answered by a later incarnation of the worker than the one that it was sent to.
-    pub in_later: bool,
+    pub later_life: bool,
     pub demand: Demand,
     pub estimate: Duration,
     /// When its first start was sent.
@@ -220,7 +220,7 @@
             run: queued.attempt,
             state: RunState::Starting,
             sent_clock: 0,
-            in_later: false,
+            later_life: false,
             demand: queued.demand,
             estimate: queued.estimate,
             started_at: now,
@@ -308,10 +308,10 @@
         let Some(run) = self.runs.get_mut(&name.task) else {
             return;
         };
-        if clock_ms >= run.sent_clock || run.in_later {
+        if clock_ms >= run.sent_clock || run.later_life {
             return;
         }
-        run.in_later = true;
+        run.later_life = true;
         let sent_clock = run.sent_clock;
         let incarnation = self.incarnation_name();
         let detail = format!(
