tests: crowds of clients that don't behave, against real processes

The tests open crowds at every port that a client can reach: bodies that are unfinished, whole, in tiny chunks, over the limit, or short texts of large values; heads that are too large or don't come on; silent connections; answers that nobody reads; first frames of links; and the same at agents and at /v1. They check that the process lives, that its peak memory stays under its size at rest, plus the budget of the test's settings, plus 16 MiB for pages and allocator, that it has no more descriptors than its limit, and that a job of an ordinary caller is completed beside the crowd and after it.

--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -31,6 +31,7 @@
 use stackcourse_lib::job_id::JobId;
 
 use crate::fault_proxy::FaultProxy;
+use crate::platform::process::ProcessInfo;
 use crate::stub_backend;
 use crate::stub_backend::BackendState;
 use crate::stub_backend::StartLine;
@@ -136,6 +137,16 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns what the kernel tells of the process.
+    pub fn info(&self) -> ProcessInfo {
+        ProcessInfo::new(self.child.id())
+    }
+
     /// Waits for the process to end. Returns whether it exited successfully within `limit`.
     pub fn wait(&mut self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -2,7 +2,9 @@
 //! which speak the published protocol. The entry and agent processes between them are real.
 
 pub mod callers;
+pub mod crowd;
 pub mod fleet;
+pub mod process;
 pub mod soak;
 pub mod store;
 pub mod workers;
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -30,6 +30,7 @@
 use crate::platform::callers;
 use crate::platform::callers::HOST;
 use crate::platform::callers::PREFIX;
+use crate::platform::process::ProcessInfo;
 use crate::platform::store;
 use crate::platform::store::PlatformStoreState;
 use crate::platform::workers;
@@ -149,6 +150,31 @@
     pub fn metrics(&self) -> SocketAddr {
         SocketAddr::from((self.ip, METRICS_PORT))
     }
+
+    /// Returns the address to which the worker sends heartbeats, for an agent.
+    pub fn heartbeats(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, HEARTBEAT_PORT))
+    }
+
+    /// Returns the address at which other processes connect.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, PEER_PORT))
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Returns what the kernel tells of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process was never started.
+    pub fn info(&self) -> ProcessInfo {
+        ProcessInfo::new(self.child.as_ref().expect("a process").id())
+    }
 }
 
 impl Drop for Machine {
@@ -158,6 +184,34 @@
     }
 }
 
+/// What a fleet consists of and how it is set up.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The number of entries.
+    pub entries: usize,
+    /// The number of agents.
+    pub agents: usize,
+    /// The policy of all processes.
+    pub policy: Value,
+    /// The `limits` of all processes.
+    pub limits: Value,
+    /// The `limits` of the operator's configuration.
+    pub request_limits: Value,
+}
+
+impl FleetPlan {
+    /// Returns a plan with the policy of the templates under `deploy/` and default limits.
+    pub fn new(entries: usize, agents: usize) -> FleetPlan {
+        FleetPlan {
+            entries,
+            agents,
+            policy: default_policy(),
+            limits: json!({}),
+            request_limits: json!({}),
+        }
+    }
+}
+
 /// A running fleet. Its processes end and its files are removed when it is dropped.
 pub struct Fleet {
     /// The simulated store.
@@ -233,7 +287,7 @@
     ///
     /// Panics if the fleet is not ready within 30 s.
     pub async fn start(binary: &Path, entries: usize, agents: usize) -> Fleet {
-        Fleet::start_with_policy(binary, entries, agents, &default_policy()).await
+        Fleet::start_plan(binary, &FleetPlan::new(entries, agents)).await
     }
 
     /// Starts a fleet that is divided into partitions in spite of its size, and waits likewise.
@@ -242,17 +296,22 @@
     ///
     /// Panics if the fleet is not ready within 30 s.
     pub async fn start_partitioned(binary: &Path, entries: usize, agents: usize) -> Fleet {
-        Fleet::start_with_policy(binary, entries, agents, &partitioned_policy()).await
+        let plan = FleetPlan {
+            policy: partitioned_policy(),
+            ..FleetPlan::new(entries, agents)
+        };
+        Fleet::start_plan(binary, &plan).await
     }
 
-    /// Starts a fleet with a policy and waits until it is ready.
-    async fn start_with_policy(
-        binary: &Path,
-        entries: usize,
-        agents: usize,
-        policy: &Value,
-    ) -> Fleet {
-        let partitions = Policy::deserialize(policy).expect("a policy").partitions;
+    /// Starts a fleet as planned and waits until it is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet is not ready within 30 s.
+    pub async fn start_plan(binary: &Path, plan: &FleetPlan) -> Fleet {
+        let (entries, agents) = (plan.entries, plan.agents);
+        let partitions = Policy::deserialize(&plan.policy);
+        let partitions = partitions.expect("a policy").partitions;
         let names = |count, name: fn(usize) -> String| (0..count).map(name).collect::<Vec<_>>();
         let (agent_names, entry_names) = (names(agents, agent_name), names(entries, entry_name));
         let partitions = Partitions::for_fleet(&agent_names, &entry_names, &partitions);
@@ -261,7 +320,8 @@
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let ip = |n: usize| address(base, n);
         let store_state = PlatformStoreState::default();
-        let first = configuration(FIRST_VERSION, &[SERVICE]);
+        let mut first = configuration(FIRST_VERSION, &[SERVICE]);
+        first["limits"] = plan.request_limits.clone();
         store_state.write_as_operator("op/config", &first);
         let store_address = SocketAddr::from((ip(0), STORE_PORT));
         let mut stand_ins = vec![store::start(store_address, store_state.clone())];
@@ -283,7 +343,7 @@
             let listen = SocketAddr::from((at, PROXY_PORT));
             fleet.proxies.push(FaultProxy::start(listen, own));
             let name = entry_name(number);
-            let node = node(&name, zone_of(0), at, store_address, Some(listen), policy);
+            let node = node(&name, zone_of(0), at, store_address, Some(listen), plan);
             let settings = json!({
                 "node": node,
                 "callers": SocketAddr::from((at, CALLERS_PORT)),
@@ -300,7 +360,7 @@
             stand_ins.push(workers::start(worker, heartbeats, shared.clone(), number));
             fleet.worker_proxies.push(FaultProxy::start(proxy, worker));
             let settings = json!({
-                "node": node(&agent_name(number), zone_of(number), at, store_address, None, policy),
+                "node": node(&agent_name(number), zone_of(number), at, store_address, None, plan),
                 "beats": heartbeats,
                 "worker": proxy,
                 "hold_ms": 1000,
@@ -467,7 +527,7 @@
     ip: Ipv4Addr,
     store: SocketAddr,
     reached_at: Option<SocketAddr>,
-    policy: &Value,
+    plan: &FleetPlan,
 ) -> Value {
     json!({
         "name": name,
@@ -479,7 +539,8 @@
         "grace_s": 6.0,
         "metrics_port": METRICS_PORT,
         "reached_at": reached_at,
-        "policy": policy,
+        "policy": plan.policy,
+        "limits": plan.limits,
     })
 }
 
--- /dev/null
+++ b/lib/testutils/src/platform/process.rs
@@ -0,0 +1,45 @@
+//! What a running process holds, as the kernel tells it.
+
+use std::path::PathBuf;
+
+/// Reads what a process holds from its directory under `/proc`.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessInfo {
+    id: u32,
+}
+
+impl ProcessInfo {
+    /// Returns a reader for the process with an id.
+    pub fn new(id: u32) -> ProcessInfo {
+        ProcessInfo { id }
+    }
+
+    /// Returns the most memory that the process has held so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not run.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(self.path("status")).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|rest| rest.split_whitespace().next());
+        let kilobytes: u64 = kilobytes
+            .and_then(|n| n.parse().ok())
+            .expect("a peak in kilobytes");
+        kilobytes * 1024
+    }
+
+    /// Returns the number of file descriptors that the process has open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not run.
+    pub fn descriptors(&self) -> usize {
+        let entries = std::fs::read_dir(self.path("fd"));
+        entries.expect("the process runs").count()
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.id))
+    }
+}
