connections: decide what clients may make a process hold

The operator's configuration says four limits of a well-behaved client; one was read.

The other three limits of the configuration are parsed.

Nothing uses the module yet.

--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -14,6 +14,7 @@
 pub mod balance;
 pub mod cancels;
 pub mod catalog;
+pub mod connections;
 pub mod contention;
 pub mod crashes;
 pub mod executor;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -4,6 +4,7 @@
 //! one with a higher version.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,12 +37,41 @@
 pub struct RequestLimits {
     /// The largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// The largest request head, in bytes.
+    pub max_header_bytes: usize,
+    /// The time in which a client sends the head of a request, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// The longest pause of a client within a request and between two of them, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl RequestLimits {
+    /// Returns the default limits for requests that have no body.
+    pub fn without_body() -> RequestLimits {
+        RequestLimits {
+            max_body_bytes: 0,
+            ..RequestLimits::default()
+        }
+    }
+
+    /// Returns the time in which a client sends the head of a request.
+    pub fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms)
+    }
+
+    /// Returns the longest pause of a client within a request and between two of them.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
 }
 
 impl Default for RequestLimits {
     fn default() -> RequestLimits {
         RequestLimits {
             max_body_bytes: 256 << 10,
+            max_header_bytes: 16 << 10,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
         }
     }
 }
