--- a/cli/tests/clients/check.rs
+++ b/cli/tests/clients/check.rs
@@ -105,9 +105,10 @@
         let (peak, descriptors) = (machine.info().peak_memory(), machine.info().descriptors());
         assert!(
             peak <= bound,
-            "{role:?}: {} MiB at the peak, at most {} MiB",
+            "{role:?}: {} MiB at the peak, at most {} MiB\n{}",
             peak >> 20,
-            bound >> 20
+            bound >> 20,
+            machine.log_text()
         );
         assert!(
             descriptors <= DESCRIPTORS,
--- a/cli/tests/clients/test_bodies.rs
+++ b/cli/tests/clients/test_bodies.rs
@@ -113,6 +113,13 @@
     check_crowd(Role::Entry, callers, 160, job_request(&steps)).await;
 }
 
+/// The same for a job that says in few bytes that it has very many tasks.
+#[actix_rt::test]
+async fn test_bodies_many_tasks() {
+    let steps = vec![json!({"count": 10_000}); 400];
+    check_crowd(Role::Entry, callers, 2, job_request(&json!(steps))).await;
+}
+
 fn job_request(steps: &serde_json::Value) -> Vec<u8> {
     let body = json!({"spec": "500", "bestEffort": true, "steps": steps}).to_string();
     assert!(body.len() <= MAX_BODY, "{} bytes", body.len());
--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -227,6 +227,14 @@
         /// The largest number that is allowed.
         limit: u32,
     },
+    /// All steps together have too many tasks.
+    #[error("steps: at most {limit} tasks in all, are {count}")]
+    TooManyTasks {
+        /// The number of tasks of all steps.
+        count: u64,
+        /// The largest number that is allowed.
+        limit: u32,
+    },
     /// A step depends on itself or on a later step.
     #[error("steps/{step}/after: {dependency} is not an earlier step")]
     InvalidDependency {
@@ -237,8 +245,10 @@
     },
 }
 
-/// The largest number of tasks in a step.
+/// The largest number of tasks in a job.
 pub const MAX_TASKS: u32 = 10_000;
+/// What a scheduler holds for a task of a job, in bytes.
+pub const TASK_BYTES: usize = 192;
 
 impl JobRequest {
     /// Checks that the steps are valid and can run in order.
@@ -260,7 +270,28 @@
                 return Err(JobError::InvalidDependency { step, dependency });
             }
         }
-        Ok(())
+        match self.task_count() {
+            count if count > u64::from(MAX_TASKS) => {
+                let limit = MAX_TASKS;
+                Err(JobError::TooManyTasks { count, limit })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn task_count(&self) -> u64 {
+        self.steps.iter().map(|s| u64::from(s.count)).sum()
+    }
+
+    /// Returns what the job makes a scheduler hold, in bytes.
+    pub fn size(&self) -> usize {
+        let step = |s: &Step| {
+            let labels = s.requirement.len() + s.rack.len();
+            size_of::<Step>() + s.after.len() * size_of::<u32>() + labels
+        };
+        let steps: usize = self.steps.iter().map(step).sum();
+        let tasks = self.task_count() as usize * TASK_BYTES;
+        size_of::<JobRequest>() + self.spec.len() + steps + tasks
     }
 }
 
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::crashes::CrashRecord;
 use crate::dispatch::model::JobRequest;
 use crate::dispatch::model::Step;
+use crate::dispatch::model::TASK_BYTES;
 use crate::dispatch::model::TaskName;
 use crate::dispatch::policy::Admission;
 use crate::prelude::*;
@@ -47,6 +48,11 @@
     pub preempted: u32,
 }
 
+const _: () = assert!(
+    size_of::<Task>() <= TASK_BYTES,
+    "a task holds more than is counted for it"
+);
+
 /// Whether a job may be placed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
