http: all that clients make a process hold stays within one budget

Cause: http.rs limited each body alone. Nothing counted what all connections of a process hold, and no time limit covered anything but the first head.

Before, where 39 MiB are allowed: 52 to 115 MiB for crowds of 40 to 160 bodies, 50 for heads; 512 to 552 descriptors of 256; connections that never end; no answer to a body over the limit.

Change: the sockets of all ports ask the set of connections what they may read, and are closed when it says so. Chunks cost what they hold, not what they carry. A body or head over the limit is refused as soon as that is known, also to a client that waits for 100 Continue, with Connection: close, and the refused client has a second, and 256 KiB, to receive its answer before the connection is closed. The kernel's buffers are 64 KiB a connection. The limits are settings (node.limits); the defaults follow from the memory of the box and the limit on descriptors. Metrics and one event a cause and second (SC131) tell what is held, refused and closed.

After: all 26 tests of bodies, heads, connections, answers and refusals pass.

The four faults share this one mechanism and mend together.

--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -6,6 +6,8 @@
 
 pub mod agent_record;
 pub mod channel;
+pub mod client_socket;
+pub mod clients;
 pub mod clock_watch;
 pub mod cpu_usage;
 pub mod division;
--- a/lib/daemon/src/dispatch/metrics_page.rs
+++ b/lib/daemon/src/dispatch/metrics_page.rs
@@ -9,6 +9,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use stackcourse_lib::clock;
+use stackcourse_lib::dispatch::connections::Connections;
 use stackcourse_lib::dispatch::executor::Executor;
 use stackcourse_lib::dispatch::forwarder::Forwarder;
 use stackcourse_lib::dispatch::scheduler::Scheduler;
@@ -238,6 +239,29 @@
     page.text()
 }
 
+/// Returns the metrics page of the connections of clients.
+pub fn clients_page(connections: &Connections) -> String {
+    let page = Page {
+        registry: Registry::new(),
+    };
+    let [open, most, held] = connections.gauges().map(|n| n as i64);
+    let budget = connections.budget();
+    let values = [
+        ("connections", open),
+        ("most_connections", most),
+        ("connection_limit", budget.connections as i64),
+        ("bytes", held),
+        ("byte_limit", budget.memory as i64),
+    ];
+    let help =
+        "What clients make the process hold now, the most connections so far, and the limits.";
+    page.gauges("clients", help, &values);
+    let help = "Requests refused and connections closed because of their clients, by cause.";
+    let counts = connections.counts();
+    page.counters("clients_limited_total", help, "cause", counts);
+    page.text()
+}
+
 /// Returns the metrics page of a forwarder.
 pub fn forwarder_page(forwarder: &Forwarder) -> String {
     let page = Page {
--- a/lib/daemon/src/lib.rs
+++ b/lib/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operator;
 pub mod problem;
 pub mod process_clock;
+pub mod process_limits;
 pub mod settings;
 pub mod status;
 pub mod store;
