links: bound connections until they have greeted

What others saw: a connection at the port for links that announces a frame of 16 MiB was read up to that size before it had said who it is, and nothing bounded how many there are: 64 MiB at the peak where 39 are allowed, 500 descriptors of 256. After a lack of descriptors the accept loop ran without a pause.

Cause: one frame limit for greetings and for links, and connections at this port counted nowhere.

A greeting has 16 KiB at most, a redirect 256 KiB. Links that are up are as before.

--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -32,6 +32,10 @@
 
 /// The size limit of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
+/// The size limit of a frame from a process that has not greeted, in bytes.
+const MAX_GREETING_BYTES: usize = 16 << 10;
+/// The size limit of a frame from a process to which no link is wanted, in bytes.
+const MAX_REDIRECT_BYTES: usize = 256 << 10;
 /// The number of connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
 
@@ -142,7 +146,7 @@
 fn frame_stream(stream: TcpStream) -> Wire {
     let _ = stream.set_nodelay(true);
     let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(MAX_GREETING_BYTES)
         .new_codec();
     Framed::new(stream, codec)
 }
@@ -191,26 +195,33 @@
     let connecting = TcpStream::connect(address);
     let connected = tokio::time::timeout(timeout, connecting).await;
     let stream = connected.map_err(|_| ChannelError::ConnectTimeout)??;
-    serve(stream, handler).await
+    serve(stream, handler, || {}).await
 }
 
-/// Exchanges greetings on a connection and runs the link until it is down.
+/// Exchanges greetings on a connection and runs the link until it is down. Calls `accepted` once the link is wanted.
 ///
 /// # Errors
 ///
 /// When the link could not be set up.
-pub async fn serve(stream: TcpStream, handler: &impl LinkHandler) -> Result<(), ChannelError> {
+pub async fn serve(
+    stream: TcpStream,
+    handler: &impl LinkHandler,
+    accepted: impl FnOnce(),
+) -> Result<(), ChannelError> {
     let mut wire = frame_stream(stream);
     let greeting = exchange_greetings(&mut wire, handler.greeting());
     let greeted = tokio::time::timeout(handler.policy().greeting, greeting).await;
     let theirs = greeted.map_err(|_| ChannelError::GreetingTimeout)??;
     match handler.decide_link(&theirs) {
         LinkDecision::Yes => {
+            accepted();
+            wire.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
             run_link(wire, theirs, handler).await;
             Ok(())
         }
         LinkDecision::NotYet => Err(ChannelError::PartitionsUnknown),
         LinkDecision::Never => {
+            wire.codec_mut().set_max_frame_length(MAX_REDIRECT_BYTES);
             let redirecting = exchange_redirects(&mut wire, &theirs, handler);
             let _ = tokio::time::timeout(handler.policy().greeting, redirecting).await;
             Err(ChannelError::OtherPartition)
--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -33,6 +33,7 @@
 use crate::dispatch::channel::LinkDecision;
 use crate::dispatch::channel::LinkEnd;
 use crate::dispatch::channel::LinkHandler;
+use crate::dispatch::clients::Clients;
 use crate::dispatch::clock_watch::ClockWatch;
 use crate::dispatch::cpu_usage::CpuUsage;
 use crate::dispatch::division::Division;
@@ -49,6 +50,8 @@
 
 /// The interval between ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(20);
+/// The delay before accepting again after a failure, such as a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// A scheduler with its links and its callers. Cheap to clone.
 #[derive(Clone)]
@@ -124,7 +127,7 @@
 impl SchedulerHost {
     /// Starts a scheduler that listens at `listen` and that others reach at `own_address`. It asks the
     /// `seeds` for the members while the store does not answer. `cores` is the processor limit of the
-    /// process, if it is known.
+    /// process, if it is known. `clients` limits the links whose other ends have not greeted.
     ///
     /// # Errors
     ///
@@ -135,6 +138,7 @@
         listen: SocketAddr,
         own_address: SocketAddr,
         cores: Option<f64>,
+        clients: Clients,
         log: LogSink,
     ) -> std::io::Result<SchedulerHost> {
         let listener = channel::listen(listen)?;
@@ -161,12 +165,20 @@
         let accepting = host.clone();
         actix_rt::spawn(async move {
             loop {
-                if let Ok((stream, _)) = listener.accept().await {
-                    let host = accepting.clone();
-                    actix_rt::spawn(async move {
-                        let _ = channel::serve(stream, &host).await;
-                    });
-                }
+                let Ok((stream, peer)) = listener.accept().await else {
+                    actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                };
+                let host = accepting.clone();
+                let admission = clients.admit_link(peer).await;
+                actix_rt::spawn(async move {
+                    let closed = admission.closed();
+                    tokio::select! {
+                        // A process that sets up no link tries again, and logs why if it lasts.
+                        _ = channel::serve(stream, &host, || drop(admission)) => {}
+                        () = closed => {}
+                    }
+                });
             }
         });
         let ticking = host.clone();
--- a/lib/daemon/tests/runner/test_channel.rs
+++ b/lib/daemon/tests/runner/test_channel.rs
@@ -83,7 +83,8 @@
     let handler = Rc::new(TestHandler::default());
     let stream = TcpStream::connect(address).await.expect("a connection");
     let link_handler = handler.clone();
-    let serving = actix_rt::spawn(async move { channel::serve(stream, &*link_handler).await });
+    let serving =
+        actix_rt::spawn(async move { channel::serve(stream, &*link_handler, || {}).await });
     while handler.sender.borrow().is_none() {
         actix_rt::time::sleep(Duration::from_millis(5)).await;
     }
