limits: tell of those that can't be kept together

Cause: limits that contradict each other, or a largest body of the operator's configuration that clients may never make the process hold, would show only as refusals.

Links without a greeting are 512 at most on any box.

Tests of the settings and of the conflicts pass.

--- a/lib/src/dispatch/connections.rs
+++ b/lib/src/dispatch/connections.rs
@@ -25,6 +25,7 @@
 
 pub use crate::dispatch::connections::limits::Budget;
 pub use crate::dispatch::connections::limits::CONNECTION_BYTES;
+pub use crate::dispatch::connections::limits::LimitConflict;
 pub use crate::dispatch::connections::limits::LimitSettings;
 pub use crate::dispatch::connections::limits::MAX_DEFAULT_MEMORY_MB;
 pub use crate::dispatch::connections::limits::ORDINARY_BYTES;
@@ -567,6 +568,13 @@
         self.counts.iter().map(|(cause, c)| (cause.word(), c.total))
     }
 
+    /// Returns whether a request is being received, served or answered.
+    pub fn is_serving(&self) -> bool {
+        let phases = [Phase::Body, Phase::Serving, Phase::Answering];
+        let mut connections = self.connections.values();
+        connections.any(|c| phases.contains(&c.phase))
+    }
+
     /// Returns the connections that are open now, the most there were, and the bytes that are held.
     pub fn gauges(&self) -> [usize; 3] {
         [self.connections.len(), self.most_open, self.held]
--- a/lib/src/dispatch/connections/limits.rs
+++ b/lib/src/dispatch/connections/limits.rs
@@ -3,6 +3,7 @@
 use std::num::NonZeroU32;
 
 use serde::Deserialize;
+use thiserror::Error;
 
 /// What an open connection holds without any request, in bytes: its buffers and its task.
 pub const CONNECTION_BYTES: usize = 20 << 10;
@@ -13,6 +14,9 @@
 /// allocator keeps it stays under the smallest box that the product is built for, which has 120 MB.
 pub const MAX_DEFAULT_MEMORY_MB: u64 = 48;
 
+/// The most links whose other ends have not greeted, on a box of any size. A fleet of more processes links within seconds.
+const MAX_GREETINGS: usize = 512;
+
 /// What a process may use, in all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -49,7 +53,53 @@
     pub client_connections: Option<NonZeroU32>,
 }
 
+/// Two settings that can't be kept together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum LimitConflict {
+    /// Clients may hold too much of the memory.
+    #[error("client_memory_mb: must be at most half of `memory_mb`, the process needs the rest")]
+    Memory,
+    /// Clients may hold too many of the descriptors.
+    #[error(
+        "client_connections: must be at most half of `descriptors`, the process needs the rest"
+    )]
+    Descriptors,
+    /// The connections alone would hold the memory for clients.
+    #[error(
+        "client_connections: each holds {CONNECTION_BYTES} bytes, and together they must hold at most three quarters of \
+         `client_memory_mb`"
+    )]
+    Connections,
+}
+
 impl LimitSettings {
+    /// Returns the settings that can't be kept together.
+    pub fn conflicts(&self) -> Vec<LimitConflict> {
+        let number = |setting: Option<NonZeroU32>| setting.map(|n| u64::from(n.get()));
+        let exceeds =
+            |part: Option<u64>, whole: Option<u64>| part.zip(whole).is_some_and(|(p, w)| p > w);
+        let half = |setting| number(setting).map(|n| n / 2);
+        let held = number(self.client_connections).map(|n| n * CONNECTION_BYTES as u64);
+        let for_connections = number(self.client_memory_mb).map(|mb| (mb << 20) / 4 * 3);
+        let checks = [
+            (
+                number(self.client_memory_mb),
+                half(self.memory_mb),
+                LimitConflict::Memory,
+            ),
+            (
+                number(self.client_connections),
+                half(self.descriptors),
+                LimitConflict::Descriptors,
+            ),
+            (held, for_connections, LimitConflict::Connections),
+        ];
+        let conflicts = checks
+            .into_iter()
+            .filter(|(part, whole, _)| exceeds(*part, *whole));
+        conflicts.map(|(_, _, conflict)| conflict).collect()
+    }
+
     /// Returns what the process may use, given what it has found out about itself.
     pub fn process(&self, found: ProcessLimits) -> ProcessLimits {
         let or = |setting: Option<NonZeroU32>, found| setting.map_or(found, |n| u64::from(n.get()));
@@ -78,7 +128,7 @@
         Budget {
             memory,
             connections: by_descriptors.min(by_memory).min(most),
-            greetings: process.descriptors as usize / 8,
+            greetings: (process.descriptors as usize / 8).min(MAX_GREETINGS),
         }
     }
 
--- a/lib/src/dispatch/connections/tests.rs
+++ b/lib/src/dispatch/connections/tests.rs
@@ -272,6 +272,28 @@
     assert_eq!(on(1 << 20, 256).connections, 128);
 }
 
+/// Limits that can't be kept together are found among those that are set.
+#[test]
+fn test_connections_conflicts() {
+    let conflicts = |text: &str| {
+        let settings: LimitSettings = serde_json::from_str(text).expect("settings");
+        settings.conflicts()
+    };
+    assert_eq!(conflicts("{}"), []);
+    assert_eq!(
+        conflicts(r#"{"memory_mb": 100, "client_memory_mb": 51}"#),
+        [LimitConflict::Memory]
+    );
+    assert_eq!(
+        conflicts(r#"{"descriptors": 1000, "client_memory_mb": 8, "client_connections": 501}"#),
+        [LimitConflict::Descriptors, LimitConflict::Connections]
+    );
+    assert_eq!(
+        conflicts(r#"{"memory_mb": 100, "client_memory_mb": 50}"#),
+        []
+    );
+}
+
 /// Plays random courses of connections on all ports. The set asserts after each step that the budget is kept; here what it
 /// counts is compared with what the courses did, and an ordinary request is served whenever room can be made.
 #[test]
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -60,6 +60,7 @@
     ClockShifted = 123, Warn, "the box's clock was wrong at the start; this process adopts the time of the others";
     ClientBudget = 130, Info, "what clients may make this process hold is known";
     ClientsLimited = 131, Warn, "clients were refused or disconnected, so that they do not make this process hold too much";
+    BodyLimitConflict = 132, Warn, "the configuration allows larger bodies than clients may make this process hold; they are refused";
     Joined = 200, Info, "this entry has joined the ownership record";
     Dropped = 201, Warn, "this entry was removed from the ownership record and rejoins";
     RightExpired = 202, Warn, "the right to start tasks has expired";
