entry: callers of /v1 are served by the server that limits what clients hold

What callers saw: crowds of unfinished bodies of 4 MiB made an entry of /v1 hold 278 MiB where 79 are allowed (60 of them, default limits); its budget for jobs begins when a body is whole.

Cause: a second server, with a limit for each body alone, and links that were read up to 16 MiB before a hello.

Change: the application is served by the one server, on a thread of its own with a set of connections that follows the same settings; its requests get the whole body that was read within the limits. Links count as connections until they have said hello, of 4 KiB at most. One thread parses requests in place of two. An agent's metrics are served likewise. A largest body that can never be held is a finding.

--- a/lib/daemon/src/agent_process.rs
+++ b/lib/daemon/src/agent_process.rs
@@ -7,10 +7,9 @@
 
 use actix::Actor;
 use actix::Addr;
-use actix_web::App;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
 use actix_web::web;
+use stackcourse_lib::dispatch::catalog::RequestLimits;
 use stackcourse_lib::event::Event;
 use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::wire;
@@ -25,7 +24,9 @@
 use crate::entry_actor::HandleLinkEvent;
 use crate::entry_actor::Leave;
 use crate::entry_process::EntryError;
-use crate::entry_process::bind;
+use crate::entry_process::bind_http;
+use crate::http_app::AppLimits;
+use crate::http_app::AppServer;
 use crate::kernel::Kernel;
 use crate::link;
 use crate::logging::log_event;
@@ -49,6 +50,8 @@
 pub struct AgentHandle {
     /// The address of the agent's actor.
     pub agent: Addr<AgentActor>,
+    /// Serves metrics and health while the handle lives, if that is on.
+    _server: Option<AppServer>,
 }
 
 /// Starts an agent on the current actix system.
@@ -67,23 +70,30 @@
     kernel.register(AGENT, agent.clone());
     log_event(&Event::new(Kind::Started, format!("agent {name}")));
     actix_rt::spawn(dial_entries(agent.clone(), hello));
-    if let Some(address) = settings.http {
-        serve_http(address, agent.clone())?;
-    }
-    Ok(AgentHandle { agent })
+    let limits = AppLimits {
+        process: settings.limits,
+        requests: RequestLimits::without_body(),
+    };
+    let serve = |address| serve_http(address, agent.clone(), limits);
+    let server = settings.http.map(serve).transpose()?;
+    Ok(AgentHandle {
+        agent,
+        _server: server,
+    })
 }
 
-fn serve_http(address: SocketAddr, agent: Addr<AgentActor>) -> Result<(), EntryError> {
-    let server = HttpServer::new(move || {
-        let agent = web::Data::new(agent.clone());
-        App::new()
-            .app_data(agent)
+fn serve_http(
+    address: SocketAddr,
+    agent: Addr<AgentActor>,
+    limits: AppLimits,
+) -> Result<AppServer, EntryError> {
+    let listener = bind_http(address)?;
+    Ok(AppServer::start(listener, limits, move |config, _| {
+        config
+            .app_data(web::Data::new(agent))
             .route("/metrics", web::get().to(metrics))
-            .route("/healthz", web::get().to(healthz))
-    });
-    let server = server.workers(1).disable_signals().listen(bind(address)?)?;
-    actix_rt::spawn(server.run());
-    Ok(())
+            .route("/healthz", web::get().to(healthz));
+    }))
 }
 
 async fn metrics(agent: web::Data<Addr<AgentActor>>) -> HttpResponse {
--- a/lib/daemon/src/api.rs
+++ b/lib/daemon/src/api.rs
@@ -20,6 +20,8 @@
 use stackcourse_lib::outcome::Refusal;
 use tokio::sync::oneshot;
 
+use crate::dispatch::clients::Clients;
+use crate::dispatch::metrics_page;
 use crate::entry_actor::EntryActor;
 use crate::entry_actor::GetMetrics;
 use crate::entry_actor::GetStatus;
@@ -36,6 +38,8 @@
     pub entry: Addr<EntryActor>,
     /// The largest request body, in bytes.
     pub body_bytes: usize,
+    /// The clients, whose figures are among the metrics.
+    pub clients: Clients,
 }
 
 /// Adds the routes of the API to an application.
@@ -137,9 +141,12 @@
 
 async fn metrics(state: web::Data<ApiState>) -> HttpResponse {
     match state.entry.send(GetMetrics).await {
-        Ok(text) => HttpResponse::Ok()
-            .content_type("text/plain; version=0.0.4")
-            .body(text),
+        Ok(mut text) => {
+            text.push_str(&state.clients.read(metrics_page::clients_page));
+            HttpResponse::Ok()
+                .content_type("text/plain; version=0.0.4")
+                .body(text)
+        }
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
--- a/lib/daemon/src/dev.rs
+++ b/lib/daemon/src/dev.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use serde_json::json;
 use stackcourse_lib::agent::AgentSetup;
+use stackcourse_lib::dispatch::connections::LimitSettings;
 use stackcourse_lib::entry::EntrySetup;
 use stackcourse_lib::room::Room;
 use stackcourse_lib::versions::Version;
@@ -95,6 +96,7 @@
         store: String::new(),
         body_bytes: 4 << 20,
         linger: std::time::Duration::ZERO,
+        limits: LimitSettings::default(),
         log: LogSettings::default(),
     }
 }
@@ -111,6 +113,7 @@
         keepalive: std::time::Duration::from_secs(2),
         answer_bytes: 1 << 20,
         http: None,
+        limits: LimitSettings::default(),
         log: LogSettings::default(),
     }
 }
--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -33,7 +33,7 @@
 /// The size limit of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 /// The size limit of a frame from a process that has not greeted, in bytes.
-const MAX_GREETING_BYTES: usize = 16 << 10;
+const MAX_GREETING_BYTES: usize = 4 << 10;
 /// The size limit of a frame from a process to which no link is wanted, in bytes.
 const MAX_REDIRECT_BYTES: usize = 256 << 10;
 /// The number of connections that may wait to be accepted.
--- a/lib/daemon/src/entry_process.rs
+++ b/lib/daemon/src/entry_process.rs
@@ -7,10 +7,8 @@
 
 use actix::Actor;
 use actix::Addr;
-use actix_web::App;
-use actix_web::HttpServer;
-use actix_web::dev::Server;
-use actix_web::dev::ServerHandle;
+use stackcourse_lib::clock::millis;
+use stackcourse_lib::dispatch::catalog::RequestLimits;
 use stackcourse_lib::entry::Entry;
 use stackcourse_lib::event::Event;
 use stackcourse_lib::event::Kind;
@@ -23,6 +21,8 @@
 use crate::boxes::StaticBoxSource;
 use crate::config_watch::follow_boxes;
 use crate::config_watch::follow_config;
+use crate::dispatch::clients::Clients;
+use crate::dispatch::http;
 use crate::entry_actor::DropDisconnectedCallers;
 use crate::entry_actor::ENTRY;
 use crate::entry_actor::EntryActor;
@@ -31,6 +31,8 @@
 use crate::entry_actor::GetStatus;
 use crate::entry_actor::HandleLinkEvent;
 use crate::entry_actor::Leave;
+use crate::http_app::AppLimits;
+use crate::http_app::AppServer;
 use crate::kernel::Kernel;
 use crate::link;
 use crate::logging::log_event;
@@ -38,8 +40,8 @@
 use crate::settings::EntrySettings;
 use crate::store::AnyStore;
 
-/// The number of threads that serve callers. All decisions are made on one separate thread.
-const HTTP_THREADS: usize = 2;
+/// The time in which a caller sends the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(4);
 /// The time for which a caller's idle connection is kept. It exceeds the usual idle timeouts of load
 /// balancers, so that the balancer closes first and sends no request into a closing connection.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
@@ -63,8 +65,8 @@
         /// The cause.
         source: std::io::Error,
     },
-    /// The HTTP server failed.
-    #[error("the HTTP server failed")]
+    /// A listener can't be used.
+    #[error("a listener can't be used")]
     Http(#[from] std::io::Error),
 }
 
@@ -76,7 +78,7 @@
     pub http: SocketAddr,
     /// The address at which links from peers and agents are accepted.
     pub listen: SocketAddr,
-    server: ServerHandle,
+    server: AppServer,
     linger: Duration,
 }
 
@@ -91,7 +93,7 @@
     kernel: &Kernel,
 ) -> Result<EntryHandle, EntryError> {
     let listener = bind(settings.listen)?;
-    let http = bind(settings.http)?;
+    let http = bind_http(settings.http)?;
     let mut setup = settings.setup.clone();
     let (listen_at, http_at) = (listener.local_addr()?, http.local_addr()?);
     setup.address = fill_port(&setup.address, listen_at);
@@ -101,9 +103,12 @@
     let entry = EntryActor::new(Entry::new(setup), clock, store.clone()).start();
     kernel.register(ENTRY, entry.clone());
     log_event(&Event::new(Kind::Started, format!("entry {name}")));
+    let links = Clients::start(&settings.limits);
+    links.sweep(|kind, detail| log_event(&Event::new(kind, detail)));
     actix_rt::spawn(accept_links(
         TcpListener::from_std(listener)?,
         entry.clone(),
+        links,
     ));
     actix_rt::spawn(dial_peers(entry.clone()));
     actix_rt::spawn(drop_disconnected_callers(entry.clone()));
@@ -116,14 +121,12 @@
             actix_rt::spawn(follow_boxes(consul, entry.clone()));
         }
     }
-    let server = serve_http(http, entry.clone(), settings.body_bytes)?;
-    let handle = server.handle();
-    actix_rt::spawn(server);
+    let server = serve_http(http, entry.clone(), &settings);
     Ok(EntryHandle {
         entry,
         http: http_at,
         listen: listen_at,
-        server: handle,
+        server,
         linger: settings.linger,
     })
 }
@@ -152,39 +155,60 @@
     bound.map_err(|source| EntryError::Listen { address, source })
 }
 
+/// Binds a non-blocking listener for clients.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub fn bind_http(address: SocketAddr) -> Result<StdListener, EntryError> {
+    let bound = http::listen(address).and_then(TcpListener::into_std);
+    bound.map_err(|source| EntryError::Listen { address, source })
+}
+
+/// Serves callers on a thread of its own. All decisions are made on this one.
 fn serve_http(
     listener: StdListener,
     entry: Addr<EntryActor>,
-    body_bytes: usize,
-) -> Result<Server, EntryError> {
-    let state = ApiState { entry, body_bytes };
-    let server = HttpServer::new(move || {
-        let state = state.clone();
-        App::new().configure(|config| api::configure_routes(config, state))
-    });
-    let server = server
-        .workers(HTTP_THREADS)
-        .backlog(4_096)
-        .keep_alive(KEEP_ALIVE_TIMEOUT)
-        .shutdown_timeout(LEAVE_TIMEOUT.as_secs())
-        .disable_signals()
-        .listen(listener)?;
-    Ok(server.run())
+    settings: &EntrySettings,
+) -> AppServer {
+    let body_bytes = settings.body_bytes;
+    let limits = AppLimits {
+        process: settings.limits,
+        requests: RequestLimits {
+            max_body_bytes: body_bytes,
+            header_timeout_ms: millis(HEADER_TIMEOUT),
+            idle_timeout_ms: millis(KEEP_ALIVE_TIMEOUT),
+            ..RequestLimits::default()
+        },
+    };
+    AppServer::start(listener, limits, move |config, clients| {
+        let state = ApiState {
+            entry,
+            body_bytes,
+            clients,
+        };
+        api::configure_routes(config, state);
+    })
 }
 
-async fn accept_links(listener: TcpListener, entry: Addr<EntryActor>) {
+async fn accept_links(listener: TcpListener, entry: Addr<EntryActor>, clients: Clients) {
     while entry.connected() {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             actix_rt::time::sleep(DIAL_CHECK_INTERVAL).await;
             continue;
         };
         let entry = entry.clone();
+        let admission = clients.admit_link(peer).await;
         actix_rt::spawn(async move {
             let Ok(hello) = entry.send(GetHello).await else {
                 return;
             };
             let events = move |event| entry.do_send(HandleLinkEvent(event));
-            let _ = link::serve(stream, hello, events).await;
+            let closed = admission.closed();
+            tokio::select! {
+                _ = link::serve(stream, hello, || drop(admission), events) => {}
+                () = closed => {}
+            }
         });
     }
 }
@@ -233,7 +257,7 @@
             }
             actix_rt::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        self.server.stop(true).await;
+        self.server.stop(LEAVE_TIMEOUT).await;
         log_event(&Event::new(Kind::Left, "entry"));
     }
 }
--- a/lib/daemon/src/lib.rs
+++ b/lib/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dispatch;
 pub mod entry_actor;
 pub mod entry_process;
+pub mod http_app;
 pub mod http_call;
 pub mod kernel;
 pub mod link;
--- a/lib/daemon/src/link.rs
+++ b/lib/daemon/src/link.rs
@@ -31,6 +31,8 @@
 pub const AGENT_IDLE_TIMEOUT: Duration = Duration::from_secs(40);
 /// The time limit for connecting and exchanging hello messages.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest frame of a process that has not said hello, in bytes.
+const MAX_HELLO_BYTES: usize = 4 << 10;
 /// The largest frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -121,7 +123,7 @@
 fn frame_connection(stream: TcpStream) -> Connection {
     let _ = stream.set_nodelay(true);
     let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(MAX_HELLO_BYTES)
         .new_codec();
     Framed::new(stream, codec)
 }
@@ -144,7 +146,10 @@
         return Err(LinkError::NoResponse);
     };
     match wire::Frame::decode(frame?).ok().and_then(|f| f.body) {
-        Some(Body::Hello(theirs)) => Ok(theirs),
+        Some(Body::Hello(theirs)) => {
+            connection.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
+            Ok(theirs)
+        }
         _ => Err(LinkError::InvalidHello),
     }
 }
@@ -176,7 +181,7 @@
     Ok(())
 }
 
-/// Runs a link that another process has opened, until it is down.
+/// Runs a link that another process has opened, until it is down. Calls `greeted` once that process has said hello.
 ///
 /// # Errors
 ///
@@ -184,12 +189,14 @@
 pub async fn serve(
     stream: TcpStream,
     hello: wire::Hello,
+    greeted: impl FnOnce(),
     events: impl Fn(LinkEvent) + 'static,
 ) -> Result<(), LinkError> {
     let mut connection = frame_connection(stream);
     let timed =
         tokio::time::timeout(HANDSHAKE_TIMEOUT, exchange_hello(&mut connection, hello)).await;
     let theirs = timed.map_err(|_| LinkError::NoResponse)??;
+    greeted();
     let idle_timeout = idle_timeout_for(&theirs);
     run_link(connection, theirs, idle_timeout, events).await;
     Ok(())
--- a/lib/daemon/src/settings.rs
+++ b/lib/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 //! used.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::path::Path;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 use stackcourse_lib::agent::AgentSetup;
 use stackcourse_lib::configuration::good_name;
 use stackcourse_lib::configuration::read_room;
+use stackcourse_lib::dispatch::connections::Budget;
+use stackcourse_lib::dispatch::connections::LimitSettings;
 use stackcourse_lib::entry::EntrySetup;
 use stackcourse_lib::findings::Fields;
 use stackcourse_lib::findings::Finding;
@@ -20,6 +23,7 @@
 use thiserror::Error;
 
 use crate::logging::LogFormat;
+use crate::process_limits;
 
 /// The reason why settings can't be used.
 #[derive(Debug, Error)]
@@ -52,6 +56,8 @@
     pub body_bytes: usize,
     /// The least time for which a leaving entry goes on answering, even if it is drained sooner.
     pub linger: Duration,
+    /// What the process may use and clients may make it hold.
+    pub limits: LimitSettings,
     /// How logs are written.
     pub log: LogSettings,
 }
@@ -74,6 +80,8 @@
     pub answer_bytes: usize,
     /// The address at which metrics and health are served, if any.
     pub http: Option<SocketAddr>,
+    /// What the process may use and clients may make it hold.
+    pub limits: LimitSettings,
     /// How logs are written.
     pub log: LogSettings,
 }
@@ -239,11 +247,13 @@
         store,
         body_bytes: f.number("body_bytes", 4 << 20, 1_024..=12 << 20, findings) as usize,
         linger: Duration::from_millis(f.number("linger_ms", 3_000, 0..=600_000, findings)),
+        limits: read_limits(&mut f, findings),
         log: read_log(&mut f, findings),
         setup,
     };
     f.finish(findings);
     check_durations(&settings.setup, findings);
+    check_body_bytes(&settings, findings);
     Some(settings)
 }
 
@@ -255,6 +265,17 @@
     ("random", Policy::Random),
 ];
 
+/// Adds a finding if a body of the largest size can't be held on this box.
+fn check_body_bytes(settings: &EntrySettings, findings: &mut Findings) {
+    let budget = Budget::new(process_limits::read(), &settings.limits);
+    let largest = budget.largest_body();
+    if settings.body_bytes > largest {
+        let message =
+            format!("must be at most {largest}, which clients may make this process hold");
+        findings.add("/body_bytes", &message);
+    }
+}
+
 /// Adds a finding for each duration that does not fit another one.
 fn check_durations(setup: &EntrySetup, findings: &mut Findings) {
     if setup.read_interval * 2 > setup.tenure.lease {
@@ -323,6 +344,7 @@
         keepalive: Duration::from_millis(f.number("keepalive_ms", 2_000, 0..=600_000, findings)),
         answer_bytes: f.number("answer_bytes", 1 << 20, 64..=8 << 20, findings) as usize,
         http: http.then(|| read_address(&mut f, "http", None, findings)),
+        limits: read_limits(&mut f, findings),
         log: read_log(&mut f, findings),
         setup,
     };
@@ -339,6 +361,30 @@
     name
 }
 
+fn read_limits(f: &mut Fields<'_>, findings: &mut Findings) -> LimitSettings {
+    let limits = LimitSettings {
+        memory_mb: read_limit(f, "memory_mb", findings),
+        descriptors: read_limit(f, "descriptors", findings),
+        client_memory_mb: read_limit(f, "client_memory_mb", findings),
+        client_connections: read_limit(f, "client_connections", findings),
+    };
+    for conflict in limits.conflicts() {
+        findings.add("", conflict.to_string());
+    }
+    limits
+}
+
+/// Reads a limit. Without it the process finds out by itself.
+fn read_limit(
+    f: &mut Fields<'_>,
+    name: &'static str,
+    findings: &mut Findings,
+) -> Option<NonZeroU32> {
+    f.value(name)?;
+    let number = f.number(name, 1, 1..=u64::from(u32::MAX), findings);
+    NonZeroU32::new(u32::try_from(number).ok()?)
+}
+
 fn read_log(f: &mut Fields<'_>, findings: &mut Findings) -> LogSettings {
     let levels = [
         ("info", "info"),
--- a/lib/daemon/src/settings/tests.rs
+++ b/lib/daemon/src/settings/tests.rs
@@ -23,3 +23,29 @@
     assert_eq!((settings.connections, settings.setup.room.slots), (60, 8));
     assert_eq!(settings.http, None);
 }
+
+/// Limits that can't be kept together are found, and a body that can never be held.
+#[test]
+fn test_entry_settings_limits() {
+    let findings = |more: &str| {
+        let text = format!(
+            r#"{{"name": "e1", "zone": "z", "http": "127.0.0.1:1", "listen": "127.0.0.1:2",
+            "store": "http://127.0.0.1:8500", {more}}}"#
+        );
+        match EntrySettings::parse("e.json", text.as_bytes()) {
+            Ok(_) => Vec::new(),
+            Err(SettingsError::Findings(list)) => list.iter().map(|f| f.pointer.clone()).collect(),
+            Err(other) => panic!("{other}"),
+        }
+    };
+    assert!(findings(r#""memory_mb": 120"#).is_empty());
+    assert_eq!(findings(r#""memory_mb": 40"#), ["/body_bytes"]);
+    assert_eq!(
+        findings(r#""client_memory_mb": 4, "body_bytes": 4000000"#),
+        ["/body_bytes"]
+    );
+    assert_eq!(
+        findings(r#""memory_mb": 100, "client_memory_mb": 60"#),
+        [""]
+    );
+}
