http: an ordinary request costs what it did

Change: limits are set with each request, writes are counted where the client had held one up. A body without bytes is taken to its end, so that its connection can be used again.

--- a/lib/daemon/src/dispatch/client_socket.rs
+++ b/lib/daemon/src/dispatch/client_socket.rs
@@ -55,6 +55,8 @@
     is_step_done: Cell<bool>,
     /// Whether reading waits for the answer to a request.
     is_read_held: Cell<bool>,
+    /// Whether the client takes no more of an answer at present.
+    is_write_blocked: Cell<bool>,
     /// Whether this end has been shut down in order.
     is_shut: Cell<bool>,
     is_disconnected: Cell<bool>,
@@ -76,6 +78,7 @@
             is_answering: Cell::default(),
             is_step_done: Cell::default(),
             is_read_held: Cell::default(),
+            is_write_blocked: Cell::default(),
             is_shut: Cell::default(),
             is_disconnected: Cell::default(),
             disconnect: Notify::new(),
@@ -327,7 +330,8 @@
             Some(stream) => Pin::new(stream).poll_write(cx, bytes),
             None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
         };
-        if let Poll::Ready(Ok(_)) = polled {
+        let was_blocked = self.is_write_blocked.replace(polled.is_pending());
+        if was_blocked && polled.is_ready() {
             self.clients.with(|c, now| c.sent(now, self.id));
         }
         polled
--- a/lib/daemon/src/dispatch/http.rs
+++ b/lib/daemon/src/dispatch/http.rs
@@ -113,7 +113,7 @@
         let begun = expecting.expect(request);
         async move { begun }
     });
-    let accepting = limiting.clone();
+    limiting.update_limits();
     let service = fn_service(move |request: Request| {
         let limiting = limiting.clone();
         async move { Ok::<_, actix_http::Error>(limiting.handle(request).await) }
@@ -138,7 +138,6 @@
         };
         // Without the option small answers are late, but complete.
         let _ = stream.set_nodelay(true);
-        accepting.update_limits();
         let socket = match clients.admit(port, stream, peer) {
             Ok(socket) => socket,
             Err(stream) if refused.get() < MAX_REFUSED => {
@@ -273,9 +272,8 @@
     kind: BodyKind,
 ) -> Result<Bytes, BodyError> {
     let announced = match kind {
-        BodyKind::None => return Ok(Bytes::new()),
         BodyKind::Sized(size) => usize::try_from(size).ok(),
-        BodyKind::Open => None,
+        BodyKind::None | BodyKind::Open => None,
     };
     let mut payload = payload;
     while let Some(part) = next_part(socket, &mut payload).await {
