--- a/cli/tests/clients/check.rs
+++ b/cli/tests/clients/check.rs
@@ -9,11 +9,9 @@
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_testutils::platform::callers;
 use stackcourse_testutils::platform::callers::CallerJob;
-use stackcourse_testutils::platform::callers::HOST;
-use stackcourse_testutils::platform::callers::PREFIX;
 use stackcourse_testutils::platform::fleet::Fleet;
 use stackcourse_testutils::platform::fleet::FleetPlan;
-use stackcourse_testutils::platform::fleet::Machine;
+use stackcourse_testutils::platform::machine::Machine;
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
 
@@ -148,25 +146,3 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
-
-/// Returns the head of a request to submit a job, with these further lines, each with its line end.
-pub fn submit_head(lines: &str) -> Vec<u8> {
-    head("POST", &format!("{PREFIX}00000000000000ff"), lines)
-}
-
-/// Returns the head of a request.
-pub fn head(method: &str, path: &str, lines: &str) -> Vec<u8> {
-    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{lines}\r\n").into_bytes()
-}
-
-/// Returns a body of chunks of a size, without the chunk that ends it.
-pub fn chunks(bytes: usize, size: usize) -> Vec<u8> {
-    let mut body = Vec::new();
-    let chunk = vec![b' '; size];
-    for _ in 0..bytes / size {
-        body.extend_from_slice(format!("{size:x}\r\n").as_bytes());
-        body.extend_from_slice(&chunk);
-        body.extend_from_slice(b"\r\n");
-    }
-    body
-}
--- a/cli/tests/clients/test_answers.rs
+++ b/cli/tests/clients/test_answers.rs
@@ -12,8 +12,8 @@
 use crate::check::Role;
 use crate::check::Trial;
 use crate::check::eventually;
-use crate::check::head;
-use crate::check::submit_head;
+use stackcourse_testutils::platform::crowd::head;
+use stackcourse_testutils::platform::crowd::submit_head;
 
 /// Guards against connections that are held for ever because their answers are not read.
 #[actix_rt::test]
--- a/cli/tests/clients/test_bodies.rs
+++ b/cli/tests/clients/test_bodies.rs
@@ -9,10 +9,10 @@
 use crate::check::MAX_BODY;
 use crate::check::Role;
 use crate::check::Trial;
-use crate::check::chunks;
 use crate::check::eventually;
-use crate::check::head;
-use crate::check::submit_head;
+use stackcourse_testutils::platform::crowd::chunks;
+use stackcourse_testutils::platform::crowd::head;
+use stackcourse_testutils::platform::crowd::submit_head;
 
 /// The largest heartbeat, in bytes.
 const MAX_HEARTBEAT: usize = 64 << 10;
--- a/cli/tests/clients/test_heads.rs
+++ b/cli/tests/clients/test_heads.rs
@@ -12,7 +12,7 @@
 
 use crate::check::Role;
 use crate::check::Trial;
-use crate::check::head;
+use stackcourse_testutils::platform::crowd::head;
 
 /// The longest wait for the end of a connection.
 const PATIENCE: Duration = Duration::from_secs(40);
--- a/cli/tests/clients/test_refusals.rs
+++ b/cli/tests/clients/test_refusals.rs
@@ -9,8 +9,8 @@
 use crate::check::MAX_BODY;
 use crate::check::Role;
 use crate::check::Trial;
-use crate::check::chunks;
-use crate::check::submit_head;
+use stackcourse_testutils::platform::crowd::chunks;
+use stackcourse_testutils::platform::crowd::submit_head;
 
 /// The longest wait for an answer that is due at once.
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/cli/tests/clients/test_v1.rs
+++ b/cli/tests/clients/test_v1.rs
@@ -9,8 +9,8 @@
 use stackcourse_testutils::platform::crowd::Reading;
 
 use crate::check::ALLOWANCE_MB;
-use crate::check::chunks;
 use crate::check::take_turn;
+use stackcourse_testutils::platform::crowd::chunks;
 
 /// What clients may make a process hold by default on a large machine, in MiB. The smallest entry boxes have 120 MB.
 const CLIENT_MEMORY_MB: u64 = 48;
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod crowd;
 pub mod fleet;
+pub mod machine;
 pub mod process;
 pub mod soak;
 pub mod store;
--- a/lib/testutils/src/platform/crowd.rs
+++ b/lib/testutils/src/platform/crowd.rs
@@ -13,6 +13,9 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use crate::platform::callers::HOST;
+use crate::platform::callers::PREFIX;
+
 /// The time after which a client that can't send any more counts as settled.
 const BLOCKED: Duration = Duration::from_secs(2);
 /// The longest wait for a crowd to settle. A server that serves nobody meanwhile does not end the wait sooner.
@@ -140,3 +143,25 @@
     while matches!(reader.read(&mut buffer).await, Ok(n) if n > 0) {}
     progress.borrow_mut().ended += 1;
 }
+
+/// Returns the head of a request to submit a job, with these further lines, each with its line end.
+pub fn submit_head(lines: &str) -> Vec<u8> {
+    head("POST", &format!("{PREFIX}00000000000000ff"), lines)
+}
+
+/// Returns the head of a request.
+pub fn head(method: &str, path: &str, lines: &str) -> Vec<u8> {
+    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{lines}\r\n").into_bytes()
+}
+
+/// Returns a body of chunks of a size, without the chunk that ends it.
+pub fn chunks(bytes: usize, size: usize) -> Vec<u8> {
+    let mut body = Vec::new();
+    let chunk = vec![b' '; size];
+    for _ in 0..bytes / size {
+        body.extend_from_slice(format!("{size:x}\r\n").as_bytes());
+        body.extend_from_slice(&chunk);
+        body.extend_from_slice(b"\r\n");
+    }
+    body
+}
--- a/lib/testutils/src/platform/fleet.rs
+++ b/lib/testutils/src/platform/fleet.rs
@@ -2,23 +2,16 @@
 //! of its own, and a fault proxy lies in front of each entry's peer port, so that tests can disturb the
 //! entry's links.
 
-use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -30,7 +23,12 @@
 use crate::platform::callers;
 use crate::platform::callers::HOST;
 use crate::platform::callers::PREFIX;
-use crate::platform::process::ProcessInfo;
+use crate::platform::machine::CALLERS_PORT;
+use crate::platform::machine::HEARTBEAT_PORT;
+use crate::platform::machine::METRICS_PORT;
+use crate::platform::machine::Machine;
+use crate::platform::machine::PEER_PORT;
+use crate::platform::machine::READY_PORT;
 use crate::platform::store;
 use crate::platform::store::PlatformStoreState;
 use crate::platform::workers;
@@ -38,14 +36,9 @@
 use crate::platform::workers::Workers;
 use crate::stub_server::StubServer;
 
-const PEER_PORT: u16 = 7720;
 const PROXY_PORT: u16 = 7730;
-const CALLERS_PORT: u16 = 8161;
-const READY_PORT: u16 = 8167;
-const HEARTBEAT_PORT: u16 = 8166;
 const WORKER_PORT: u16 = 8165;
 const WORKER_PROXY_PORT: u16 = 8175;
-const METRICS_PORT: u16 = 9464;
 const STORE_PORT: u16 = 8169;
 /// The number of the first entry among a fleet's machines; the store's is 0.
 const FIRST_ENTRY: usize = 10;
@@ -56,134 +49,6 @@
 /// The service that the fleet's workers belong to.
 pub const SERVICE: &str = "quote-desk";
 
-/// A machine that runs the process of one role.
-pub struct Machine {
-    /// The machine's address.
-    pub ip: Ipv4Addr,
-    role: &'static str,
-    settings: PathBuf,
-    binary: PathBuf,
-    child: Option<Child>,
-}
-
-impl Machine {
-    /// Starts the process, unless one runs.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the binary can't be started.
-    pub fn start(&mut self) {
-        if self.child.is_some() {
-            return;
-        }
-        let log = File::options().create(true).append(true).open(self.log());
-        let log = log.expect("a log file");
-        let stderr = log.try_clone().expect("a log file");
-        let child = Command::new(&self.binary)
-            .args(["platform", self.role])
-            .env("STACKCOURSE_NODE_FILE", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::from(log))
-            .stderr(Stdio::from(stderr))
-            .spawn();
-        self.child = Some(child.expect("the binary runs"));
-    }
-
-    /// Returns the path of the process's log.
-    pub fn log(&self) -> PathBuf {
-        self.settings.with_extension("log")
-    }
-
-    /// Returns the log so far.
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(self.log()).unwrap_or_default()
-    }
-
-    /// Returns the path of the settings file.
-    pub fn settings(&self) -> &Path {
-        &self.settings
-    }
-
-    /// Sends a signal to the process, if one runs.
-    pub fn signal(&self, signal: Signal) {
-        if let Some(child) = &self.child {
-            let _ = kill(Pid::from_raw(child.id() as i32), signal);
-        }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Asks the process to stop and waits for its end. Returns whether it ended successfully within the limit.
-    pub fn stop(&mut self, limit: Duration) -> bool {
-        self.signal(Signal::SIGTERM);
-        let end = Instant::now() + limit;
-        while let Some(child) = &mut self.child {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.child = None;
-                return status.success();
-            }
-            if Instant::now() >= end {
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        false
-    }
-
-    /// Returns the address that callers send requests to, for an entry.
-    pub fn callers(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, CALLERS_PORT))
-    }
-
-    /// Returns the address of the readiness check, for an entry.
-    pub fn ready(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, READY_PORT))
-    }
-
-    /// Returns the address of the metrics page.
-    pub fn metrics(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, METRICS_PORT))
-    }
-
-    /// Returns the address to which the worker sends heartbeats, for an agent.
-    pub fn heartbeats(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, HEARTBEAT_PORT))
-    }
-
-    /// Returns the address at which other processes connect.
-    pub fn peers(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, PEER_PORT))
-    }
-
-    /// Returns whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Returns what the kernel tells of the process.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the process was never started.
-    pub fn info(&self) -> ProcessInfo {
-        ProcessInfo::new(self.child.as_ref().expect("a process").id())
-    }
-}
-
-impl Drop for Machine {
-    fn drop(&mut self) {
-        self.signal(Signal::SIGCONT);
-        self.kill();
-    }
-}
-
 /// What a fleet consists of and how it is set up.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
@@ -210,6 +75,14 @@
             request_limits: json!({}),
         }
     }
+
+    /// Returns the same plan for a fleet that is divided into partitions in spite of its size.
+    pub fn partitioned(entries: usize, agents: usize) -> FleetPlan {
+        FleetPlan {
+            policy: partitioned_policy(),
+            ..FleetPlan::new(entries, agents)
+        }
+    }
 }
 
 /// A running fleet. Its processes end and its files are removed when it is dropped.
@@ -296,11 +169,7 @@
     ///
     /// Panics if the fleet is not ready within 30 s.
     pub async fn start_partitioned(binary: &Path, entries: usize, agents: usize) -> Fleet {
-        let plan = FleetPlan {
-            policy: partitioned_policy(),
-            ..FleetPlan::new(entries, agents)
-        };
-        Fleet::start_plan(binary, &plan).await
+        Fleet::start_plan(binary, &FleetPlan::partitioned(entries, agents)).await
     }
 
     /// Starts a fleet as planned and waits until it is ready.
@@ -383,13 +252,7 @@
     ) -> Machine {
         let file = self.dir.join(format!("{role}-{number}.json"));
         std::fs::write(&file, settings.to_string()).expect("a settings file");
-        let mut machine = Machine {
-            ip,
-            role,
-            settings: file,
-            binary: binary.to_owned(),
-            child: None,
-        };
+        let mut machine = Machine::new(ip, role, file, binary);
         machine.start();
         machine
     }
--- a/lib/testutils/src/platform/soak/faults.rs
+++ b/lib/testutils/src/platform/soak/faults.rs
@@ -8,7 +8,7 @@
 
 use super::Soak;
 use crate::fault_proxy::Fault;
-use crate::platform::fleet::Machine;
+use crate::platform::machine::Machine;
 use crate::platform::store::StoreFaults;
 
 /// The share of the orders that are late while an agent is cut off.
