--- a/lib/testutils/src/bin/platform-soak.rs
+++ b/lib/testutils/src/bin/platform-soak.rs
@@ -31,6 +31,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Divide the fleet into partitions: at least 4 entries and 4 agents"),
         )
+        .arg(
+            Arg::new("crowds")
+                .long("crowds")
+                .action(ArgAction::SetTrue)
+                .help("Add crowds of clients that don't behave"),
+        )
         .arg(number("entries", "3", "The number of entries, 20 at most"))
         .arg(number("agents", "4", "The number of agents, 200 at most"))
         .arg(
@@ -50,6 +56,7 @@
             entries: value("entries") as usize,
             agents: value("agents") as usize,
             partitioned: matches.get_flag("divided"),
+            crowds: matches.get_flag("crowds"),
             log_dir: matches.get_one::<PathBuf>("keep").cloned(),
             ..SoakPlan::small(seed, span)
         };
--- a/lib/testutils/src/platform/process.rs
+++ b/lib/testutils/src/platform/process.rs
@@ -1,6 +1,7 @@
 //! What a running process holds, as the kernel tells it.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Reads what a process holds from its directory under `/proc`.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +30,17 @@
         kilobytes * 1024
     }
 
+    /// Returns the processor time that the process has used so far.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not run.
+    pub fn cpu_time(&self) -> Duration {
+        let stat = std::fs::read_to_string(self.path("schedstat")).expect("the process runs");
+        let nanoseconds = stat.split_whitespace().next().and_then(|n| n.parse().ok());
+        Duration::from_nanos(nanoseconds.expect("a time in nanoseconds"))
+    }
+
     /// Returns the number of file descriptors that the process has open.
     ///
     /// # Panics
--- a/lib/testutils/src/platform/soak.rs
+++ b/lib/testutils/src/platform/soak.rs
@@ -4,6 +4,7 @@
 //! faults.
 
 mod cancels;
+mod crowds;
 mod faults;
 
 use std::cell::Cell;
@@ -24,6 +25,7 @@
 use crate::platform::fleet;
 use crate::platform::fleet::FIRST_VERSION;
 use crate::platform::fleet::Fleet;
+use crate::platform::fleet::FleetPlan;
 use crate::platform::soak::faults::PlannedFault;
 use crate::platform::soak::faults::Repair;
 
@@ -55,6 +57,8 @@
     pub agents: usize,
     /// Whether the fleet is divided into partitions.
     pub partitioned: bool,
+    /// Whether crowds of clients that don't behave come beside the faults.
+    pub crowds: bool,
     /// The directory for the processes' logs and the timeline of a soak that fails; `None` discards them.
     pub log_dir: Option<PathBuf>,
 }
@@ -68,6 +72,7 @@
             entries: 3,
             agents: 4,
             partitioned: false,
+            crowds: false,
             log_dir: None,
         }
     }
@@ -139,6 +144,8 @@
     worker_faults: ChaCha8Rng,
     /// Draws the cancels and the faults around them; separate likewise.
     cancels: ChaCha8Rng,
+    /// Draws crowds of clients, if there are any; separate likewise.
+    crowds: Option<ChaCha8Rng>,
     fleet: Fleet,
     completed: Rc<Cell<u64>>,
     started_at: Instant,
@@ -155,16 +162,22 @@
 
 /// Runs a soak: a span with faults, then recovery and some jobs without faults. Needs an actix system.
 pub async fn run(binary: &Path, plan: &SoakPlan) -> SoakReport {
-    let fleet = match plan.partitioned {
-        true => Fleet::start_partitioned(binary, plan.entries, plan.agents).await,
-        false => Fleet::start(binary, plan.entries, plan.agents).await,
+    let mut fleet_plan = match plan.partitioned {
+        true => FleetPlan::partitioned(plan.entries, plan.agents),
+        false => FleetPlan::new(plan.entries, plan.agents),
     };
+    if plan.crowds {
+        fleet_plan.limits = crowds::limits();
+    }
+    let fleet = Fleet::start_plan(binary, &fleet_plan).await;
+    let crowds = plan.crowds;
     let mut soak = Soak {
         rng: ChaCha8Rng::seed_from_u64(plan.seed),
         changes: ChaCha8Rng::seed_from_u64(!plan.seed),
         crashes: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32)),
         worker_faults: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(16)),
         cancels: ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(48)),
+        crowds: crowds.then(|| ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(24))),
         fleet,
         completed: Rc::new(Cell::new(0)),
         started_at: Instant::now(),
@@ -203,6 +216,7 @@
             let crashing = self.crashes.random_bool(CRASHING_SHARE);
             let job = self.submit_job(crashing);
             self.maybe_cancel(job);
+            self.maybe_open_crowd();
             self.plan_cancels(Instant::now());
             self.inject_planned(Instant::now());
             self.repair_due(Instant::now());
@@ -251,7 +265,7 @@
             }
         }
         actix_rt::time::sleep(Duration::from_secs(1)).await;
-        result
+        result.and(self.check_memory())
     }
 
     /// Submits jobs without faults and waits for their ends.
