--- a/lib/src/dispatch/connections.rs
+++ b/lib/src/dispatch/connections.rs
@@ -10,9 +10,10 @@
 //! reads at most what [`Connections::read_allowance`] returns, and closes the connections that
 //! [`Connections::take_closed`] returns before it does anything else.
 
+mod causes;
+mod connection;
 mod limits;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +24,12 @@
 use crate::dispatch::catalog::RequestLimits;
 use crate::prelude::Mono;
 
+use crate::dispatch::connections::causes::CauseCounts;
+use crate::dispatch::connections::connection::Connection;
+use crate::dispatch::connections::connection::Phase;
+
+pub use crate::dispatch::connections::causes::Cause;
+pub use crate::dispatch::connections::causes::Notice;
 pub use crate::dispatch::connections::limits::Budget;
 pub use crate::dispatch::connections::limits::CONNECTION_BYTES;
 pub use crate::dispatch::connections::limits::LimitConflict;
@@ -55,15 +62,6 @@
 const WIRE_SLACK: usize = 64 << 10;
 /// The size of answers that is included in [`CONNECTION_BYTES`].
 const ANSWER_INCLUDED: usize = 8 << 10;
-/// The bytes after which a connection counts as one that brings something. A client that sends single bytes to keep a
-/// connection is not spared for them.
-const PROGRESS_BYTES: usize = 256;
-/// The time without progress after which a connection may be closed for the sake of others.
-const STALL: Duration = Duration::from_millis(200);
-/// The time that is added to the time limits that clients know, for delays on the way.
-const TIME_MARGIN: Duration = Duration::from_secs(1);
-/// The shortest time between two notices of the same cause.
-const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two sweeps.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The most connections on each of the ports that only operators and the box's own programs use.
@@ -85,63 +83,6 @@
 /// The number of ports.
 const PORTS: usize = 4;
 
-/// What a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// No request has begun.
-    Idle,
-    /// The head of a request is awaited or has come in part.
-    Head,
-    /// The body of a request comes in.
-    Body,
-    /// A whole request is served.
-    Serving,
-    /// The answer is being sent.
-    Answering,
-    /// The client was refused; the answer is given time to arrive.
-    Closing,
-}
-
-/// Why a request was refused or a connection closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cause {
-    /// All memory for clients is held.
-    Memory,
-    /// There are as many connections as are allowed.
-    Connections,
-    /// The head is too large.
-    HeadSize,
-    /// The body is too large.
-    BodySize,
-    /// The body takes too many bytes on the wire for those that it carries.
-    BodyOverhead,
-    /// The head did not come in time.
-    HeadTime,
-    /// The body did not come on.
-    BodyTime,
-    /// The answer was not taken.
-    AnswerTime,
-    /// No request came for long.
-    Idle,
-}
-
-impl Cause {
-    /// Returns the word for the cause in logs and metrics.
-    pub fn word(self) -> &'static str {
-        match self {
-            Cause::Memory => "memory",
-            Cause::Connections => "connections",
-            Cause::HeadSize => "head-size",
-            Cause::BodySize => "body-size",
-            Cause::BodyOverhead => "body-overhead",
-            Cause::HeadTime => "head-time",
-            Cause::BodyTime => "body-time",
-            Cause::AnswerTime => "answer-time",
-            Cause::Idle => "idle",
-        }
-    }
-}
-
 /// What may be read from a connection now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadAllowance {
@@ -177,86 +118,6 @@
     pub in_request: bool,
 }
 
-/// What the log is to say of refused requests and closed connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Notice {
-    /// The cause.
-    pub cause: Cause,
-    /// How many there were since the last notice of this cause.
-    pub count: u64,
-    /// The address of the newest client.
-    pub peer: SocketAddr,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Connection {
-    port: Port,
-    peer: SocketAddr,
-    phase: Phase,
-    /// What it holds beyond [`CONNECTION_BYTES`], in bytes.
-    held: usize,
-    /// When the head began to come, or was first awaited.
-    head_since: Mono,
-    last_byte: Mono,
-    last_progress: Mono,
-    /// The bytes since `last_progress`.
-    brought: usize,
-    /// The bytes that were read in this phase.
-    wire: usize,
-    /// The bytes of the body.
-    body: usize,
-    chunked: bool,
-}
-
-impl Connection {
-    fn progress(&mut self, now: Mono) {
-        self.last_byte = now;
-        self.last_progress = now;
-        self.brought = 0;
-    }
-
-    fn enter(&mut self, now: Mono, phase: Phase) {
-        self.phase = phase;
-        self.wire = 0;
-        self.progress(now);
-    }
-
-    /// Returns how long it has brought nothing, if it may be closed for the sake of others.
-    fn stall(&self, now: Mono) -> Option<Duration> {
-        let stall = now.since(self.last_progress);
-        (self.phase != Phase::Serving && stall >= STALL).then_some(stall)
-    }
-
-    fn in_request(&self) -> bool {
-        match self.phase {
-            Phase::Head => self.wire > 0,
-            Phase::Body => true,
-            Phase::Idle | Phase::Serving | Phase::Answering | Phase::Closing => false,
-        }
-    }
-
-    /// Returns why its time is over, if it is.
-    fn overdue(&self, now: Mono, limits: &RequestLimits) -> Option<Cause> {
-        let (since, limit, cause) = match self.phase {
-            Phase::Idle => (self.last_byte, limits.idle_timeout(), Cause::Idle),
-            Phase::Head => (self.head_since, limits.header_timeout(), Cause::HeadTime),
-            Phase::Body => (self.last_byte, limits.idle_timeout(), Cause::BodyTime),
-            Phase::Answering => (self.last_byte, limits.idle_timeout(), Cause::AnswerTime),
-            Phase::Serving | Phase::Closing => return None,
-        };
-        (now.since(since) >= limit + TIME_MARGIN).then_some(cause)
-    }
-}
-
-/// The count of one cause.
-#[derive(Clone, Copy, Debug)]
-struct CauseCount {
-    total: u64,
-    noticed: u64,
-    last_notice: Option<Mono>,
-    peer: SocketAddr,
-}
-
 /// The connections of all clients of a process, and what they hold.
 #[derive(Debug)]
 pub struct Connections {
@@ -270,7 +131,7 @@
     most_open: usize,
     last_sweep: Option<Mono>,
     closed: Vec<ClosedConnection>,
-    counts: BTreeMap<Cause, CauseCount>,
+    counts: CauseCounts,
 }
 
 impl Connections {
@@ -285,7 +146,7 @@
             most_open: 0,
             last_sweep: None,
             closed: Vec::new(),
-            counts: BTreeMap::new(),
+            counts: CauseCounts::default(),
         }
     }
 
@@ -308,29 +169,18 @@
         if self.open[port as usize] >= self.connection_limit(port) {
             let longest = |_, c: &Connection, stall| (c.port == port).then_some(stall);
             if !self.close_one(now, Cause::Connections, longest) {
-                return Err(self.count(Cause::Connections, peer));
+                return Err(self.counts.count(Cause::Connections, peer));
             }
         }
         if !self.make_room(now, None, CONNECTION_BYTES, false) {
-            return Err(self.count(Cause::Memory, peer));
+            return Err(self.counts.count(Cause::Memory, peer));
         }
         self.held += CONNECTION_BYTES;
         self.open[port as usize] += 1;
         self.most_open = self.most_open.max(self.connections.len() + 1);
         self.check();
-        Ok(self.connections.insert(Connection {
-            port,
-            peer,
-            phase: Phase::Head,
-            held: 0,
-            head_since: now,
-            last_byte: now,
-            last_progress: now,
-            brought: 0,
-            wire: 0,
-            body: 0,
-            chunked: false,
-        }))
+        let connection = Connection::new(now, port, peer);
+        Ok(self.connections.insert(connection))
     }
 
     /// Returns the most connections on a port.
@@ -376,16 +226,7 @@
         let Some(c) = self.connections.get_mut(id) else {
             return Ok(());
         };
-        if c.phase == Phase::Idle {
-            c.enter(now, Phase::Head);
-            c.head_since = now;
-        }
-        c.last_byte = now;
-        c.wire += bytes;
-        c.brought += bytes;
-        if c.brought >= PROGRESS_BYTES {
-            c.progress(now);
-        }
+        c.receive(now, bytes);
         match c.phase {
             Phase::Head => self.hold(now, id, bytes * HELD_PER_HEAD_BYTE),
             Phase::Body if c.wire > c.body * WIRE_PER_BODY_BYTE + WIRE_SLACK => {
@@ -543,29 +384,14 @@
         std::mem::take(&mut self.closed)
     }
 
-    /// Returns what the log is to say now, at most once for each cause and [`NOTICE_INTERVAL`].
+    /// Returns what the log is to say now.
     pub fn take_notices(&mut self, now: Mono) -> Vec<Notice> {
-        let mut notices = Vec::new();
-        for (&cause, count) in &mut self.counts {
-            let due = |last| now.since(last) >= NOTICE_INTERVAL;
-            let news = count.total - count.noticed;
-            if cause == Cause::Idle || news == 0 || !count.last_notice.is_none_or(due) {
-                continue;
-            }
-            count.noticed = count.total;
-            count.last_notice = Some(now);
-            notices.push(Notice {
-                cause,
-                count: news,
-                peer: count.peer,
-            });
-        }
-        notices
+        self.counts.take_notices(now)
     }
 
     /// Returns how often each cause has led to a refusal or a closed connection.
     pub fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        self.counts.iter().map(|(cause, c)| (cause.word(), c.total))
+        self.counts.totals()
     }
 
     /// Returns whether a request is being received, served or answered.
@@ -648,7 +474,7 @@
         };
         let (peer, in_request) = (c.peer, c.in_request());
         self.close(id);
-        self.count(cause, peer);
+        self.counts.count(cause, peer);
         self.closed.push(ClosedConnection {
             id,
             cause,
@@ -659,23 +485,11 @@
     /// Counts a request that is refused. Returns the cause.
     pub fn refuse(&mut self, id: ConnectionId, cause: Cause) -> Cause {
         match self.connections.get(id) {
-            Some(c) => self.count(cause, c.peer),
+            Some(c) => self.counts.count(cause, c.peer),
             None => cause,
         }
     }
 
-    fn count(&mut self, cause: Cause, peer: SocketAddr) -> Cause {
-        let count = self.counts.entry(cause).or_insert(CauseCount {
-            total: 0,
-            noticed: 0,
-            last_notice: None,
-            peer,
-        });
-        count.total += 1;
-        count.peer = peer;
-        cause
-    }
-
     /// Asserts that the budget is kept.
     fn check(&self) {
         assert!(
--- a/lib/src/dispatch/connections/tests.rs
+++ b/lib/src/dispatch/connections/tests.rs
@@ -393,7 +393,7 @@
             most_open: 0,
             last_sweep: None,
             closed: Vec::new(),
-            counts: BTreeMap::new(),
+            counts: CauseCounts::default(),
         };
         let opened = copy.open(now, Port::Main, peer());
         assert!(opened.is_ok(), "seed {seed}: {opened:?}");
