--- a/lib/daemon/src/dispatch/follow.rs
+++ b/lib/daemon/src/dispatch/follow.rs
@@ -64,6 +64,8 @@
 
 /// The maximum number of unreadable keys that are remembered as logged. Further keys are not logged.
 const MAX_LOGGED_FAULTS: usize = 100;
+/// The part of a key that is remembered, in characters. Keys of the store have 200 bytes at most; other texts may be longer.
+const MAX_KEY_CHARS: usize = 256;
 
 /// Logs each unreadable key only once.
 #[derive(Debug, Default)]
@@ -86,7 +88,8 @@
     /// key until the limit is reached.
     pub fn mark_logged(&self, key: &str) -> bool {
         let mut logged = self.logged.borrow_mut();
-        logged.len() < MAX_LOGGED_FAULTS && logged.insert(key.to_owned())
+        let key: String = key.chars().take(MAX_KEY_CHARS).collect();
+        logged.len() < MAX_LOGGED_FAULTS && logged.insert(key)
     }
 }
 
