--- a/lib/src/dispatch/model.rs
+++ b/lib/src/dispatch/model.rs
@@ -245,8 +245,8 @@
     },
 }
 
-/// The largest number of tasks in a job.
-pub const MAX_TASKS: u32 = 10_000;
+/// The largest number of tasks in a job. Jobs have 220 tasks at most where they are all legitimate.
+pub const MAX_TASKS: u32 = 1_000;
 /// What a scheduler holds for a task of a job, in bytes.
 pub const TASK_BYTES: usize = 192;
 
