scheduler: what a job says of itself bounds neither its wait nor its cost

Cause: the latest start and the end of a job follow from its caller's estimate alone. And each end of a task compared all tasks with all waits of all steps.

The steps that are complete are found once for each end of a task.

--- a/cli/tests/clients/main.rs
+++ b/cli/tests/clients/main.rs
@@ -8,6 +8,7 @@
 mod test_bodies;
 mod test_connections;
 mod test_heads;
+mod test_jobs;
 mod test_links;
 mod test_refusals;
 mod test_v1;
--- a/cli/tests/clients/test_bodies.rs
+++ b/cli/tests/clients/test_bodies.rs
@@ -12,6 +12,7 @@
 use crate::check::eventually;
 use stackcourse_testutils::platform::crowd::chunks;
 use stackcourse_testutils::platform::crowd::head;
+use stackcourse_testutils::platform::crowd::job_request;
 use stackcourse_testutils::platform::crowd::submit_head;
 
 /// The largest heartbeat, in bytes.
@@ -120,14 +121,6 @@
     check_crowd(Role::Entry, callers, 2, job_request(&json!(steps))).await;
 }
 
-fn job_request(steps: &serde_json::Value) -> Vec<u8> {
-    let body = json!({"spec": "500", "bestEffort": true, "steps": steps}).to_string();
-    assert!(body.len() <= MAX_BODY, "{} bytes", body.len());
-    let mut bytes = submit_head(&announced(body.len()));
-    bytes.extend(body.as_bytes());
-    bytes
-}
-
 /// Guards against an agent that runs out of memory by its worker's port.
 #[actix_rt::test]
 async fn test_bodies_heartbeats_unfinished() {
--- a/lib/src/dispatch/policy/admission.rs
+++ b/lib/src/dispatch/policy/admission.rs
@@ -23,6 +23,10 @@
         /// A job is given up once this many times its objective has passed: its result is then worth nothing
         /// to its caller.
         late_factor: ratio = 3.0, 1.0..=10.0;
+        /// The longest time that a job waits to begin, whatever estimate its caller gives.
+        longest_wait: ms = 5_000, 1..=86_400_000;
+        /// The longest time until a job is given up, whatever estimate its caller gives.
+        longest_life: ms = 60_000, 1..=86_400_000;
         /// The part of the objective that passes on the network between the caller and the entry, in both
         /// directions.
         travel: ms = 12, 0..=10_000;
--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -131,8 +131,10 @@
         let spare_factor = (queue.extension - policy.slow_allowance).max(0.0) * policy.sure_share;
         let start_window =
             Duration::from_millis(u64::from(queue.objective_ms)) + total.mul_f64(spare_factor);
+        let start_window = start_window.min(policy.longest_wait);
         let patience = Duration::from_millis(request.patience_ms);
-        let mut expires_at = now + objective.mul_f64(policy.late_factor);
+        let useful = objective.mul_f64(policy.late_factor);
+        let mut expires_at = now + useful.min(policy.longest_life);
         if !patience.is_zero() {
             expires_at = expires_at.min(now + patience);
         }
@@ -200,13 +202,12 @@
     /// Makes the tasks ready whose earlier steps are complete.
     pub fn unblock(&mut self) {
         let steps = &self.request.steps;
-        let open: Vec<bool> = (0..steps.len())
-            .map(|i| {
-                let after = &steps[i].after;
-                let unfinished = |t: &Task| after.contains(&t.step) && t.state != TaskState::Done;
-                !self.tasks.iter().any(unfinished)
-            })
-            .collect();
+        let mut complete = vec![true; steps.len()];
+        for task in &self.tasks {
+            complete[task.step as usize] &= task.state == TaskState::Done;
+        }
+        let is_open = |step: &Step| step.after.iter().all(|earlier| complete[*earlier as usize]);
+        let open: Vec<bool> = steps.iter().map(is_open).collect();
         for task in &mut self.tasks {
             if task.state == TaskState::Blocked && open[task.step as usize] {
                 task.state = TaskState::Ready;
--- a/lib/testutils/src/bin/client-crowd.rs
+++ b/lib/testutils/src/bin/client-crowd.rs
@@ -19,6 +19,7 @@
 use stackcourse_testutils::platform::crowd::Reading;
 use stackcourse_testutils::platform::crowd::chunks;
 use stackcourse_testutils::platform::crowd::head;
+use stackcourse_testutils::platform::crowd::job_request;
 use stackcourse_testutils::platform::crowd::submit_head;
 use stackcourse_testutils::platform::fleet::Fleet;
 use stackcourse_testutils::platform::fleet::FleetPlan;
@@ -91,9 +92,7 @@
 fn long_lists() -> Vec<u8> {
     let after = vec![0; 120_000];
     let steps = json!([{"count": 1, "cpu": 1000, "estimateMs": 500}, {"count": 1, "after": after}]);
-    let body = json!({"spec": "500", "bestEffort": true, "steps": steps}).to_string();
-    let head = submit_head(&format!("Content-Length: {}\r\n", body.len()));
-    [head, body.into_bytes()].concat()
+    job_request(&steps)
 }
 
 async fn play(binary: &Path, limits: &Value, name: &str, count: usize, bytes: Vec<u8>) {
--- a/lib/testutils/src/platform/crowd.rs
+++ b/lib/testutils/src/platform/crowd.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use serde_json::Value;
+use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
@@ -165,3 +167,10 @@
     }
     body
 }
+
+/// Returns the whole request to submit a job of these steps.
+pub fn job_request(steps: &Value) -> Vec<u8> {
+    let body = json!({"spec": "500", "bestEffort": true, "steps": steps}).to_string();
+    let head = submit_head(&format!("Content-Length: {}\r\n", body.len()));
+    [head, body.into_bytes()].concat()
+}
