--- a/lib/daemon/src/dispatch/clients.rs
+++ b/lib/daemon/src/dispatch/clients.rs
@@ -14,6 +14,7 @@
 use stackcourse_lib::dispatch::connections::LimitSettings;
 use stackcourse_lib::dispatch::connections::Notice;
 use stackcourse_lib::dispatch::connections::Port;
+use stackcourse_lib::dispatch::connections::ProcessLimits;
 use stackcourse_lib::dispatch::connections::SWEEP_INTERVAL;
 use stackcourse_lib::event::Kind;
 use stackcourse_lib::prelude::Mono;
@@ -190,9 +191,16 @@
 }
 
 fn describe_budget(budget: &Budget) -> String {
-    let (memory, connections) = (budget.memory >> 20, budget.connections);
-    let greetings = budget.greetings;
-    format!("{memory} MiB, {connections} connections, {greetings} links without a greeting")
+    let ProcessLimits {
+        memory_mb,
+        descriptors,
+    } = budget.process;
+    format!(
+        "{} of {memory_mb} MiB, {} connections and {} links without a greeting of {descriptors} descriptors",
+        budget.memory >> 20,
+        budget.connections,
+        budget.greetings,
+    )
 }
 
 fn describe_notice(notice: &Notice) -> String {
--- a/lib/src/dispatch/connections/limits.rs
+++ b/lib/src/dispatch/connections/limits.rs
@@ -29,6 +29,8 @@
 /// What all clients together may make a process hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
+    /// What the process may use, in all.
+    pub process: ProcessLimits,
     /// Memory, in bytes.
     pub memory: usize,
     /// Connections on all ports but the one for links.
@@ -126,6 +128,7 @@
         let most = settings.client_connections;
         let most = most.map_or(usize::MAX, |n| n.get() as usize);
         Budget {
+            process,
             memory,
             connections: by_descriptors.min(by_memory).min(most),
             greetings: (process.descriptors as usize / 8).min(MAX_GREETINGS),
--- a/lib/src/dispatch/connections/tests.rs
+++ b/lib/src/dispatch/connections/tests.rs
@@ -9,6 +9,10 @@
 
 fn budget() -> Budget {
     Budget {
+        process: ProcessLimits {
+            memory_mb: 32,
+            descriptors: 256,
+        },
         memory: 8 * MIB,
         connections: 128,
         greetings: 32,
