--- a/lib/daemon/src/dispatch/client_socket.rs
+++ b/lib/daemon/src/dispatch/client_socket.rs
@@ -61,8 +61,16 @@
     is_shut: Cell<bool>,
     is_disconnected: Cell<bool>,
     disconnect: Notify,
-    /// The chunks that were taken since the task last waited, and for how many of them room is taken.
-    chunks: Cell<(usize, usize)>,
+    chunks: Cell<ChunkQueue>,
+}
+
+/// The queue in which the chunks of a body wait for the reader.
+#[derive(Clone, Copy, Default)]
+struct ChunkQueue {
+    /// The chunks that were taken since the reader last waited.
+    taken: usize,
+    /// The chunks for which room is held.
+    held: usize,
 }
 
 impl ClientSocket {
@@ -134,30 +142,30 @@
 
     /// Takes room for the queue in which the chunks of a body wait.
     fn count_chunk(&self) -> Result<(), Cause> {
-        let (taken, counted) = self.chunks.get();
+        let ChunkQueue { taken, held } = self.chunks.get();
         let taken = taken + 1;
-        self.chunks.set((taken, counted));
-        if taken <= counted.max(CHUNKS_INCLUDED) {
+        if taken <= held.max(CHUNKS_INCLUDED) {
+            self.chunks.set(ChunkQueue { taken, held });
             return Ok(());
         }
-        let queue = taken.next_power_of_two();
-        self.chunks.set((taken, queue));
-        let held = self
+        let grown = taken.next_power_of_two();
+        self.chunks.set(ChunkQueue { taken, held: grown });
+        let counted = self
             .clients
-            .with(|c, now| c.chunk_queue(now, self.id, queue - counted));
-        held.map_err(|cause| self.refuse(cause))
+            .with(|c, now| c.chunk_queue(now, self.id, grown - held));
+        counted.map_err(|cause| self.refuse(cause))
     }
 
     /// Handles that all chunks so far were taken.
     pub fn chunks_taken(&self) {
-        let (_, counted) = self.chunks.get();
-        self.chunks.set((0, counted));
+        let held = self.chunks.get().held;
+        self.chunks.set(ChunkQueue { taken: 0, held });
     }
 
     /// Returns the whole body.
     pub fn take_body(&self) -> Bytes {
         self.clients.with(|c, now| c.body_complete(now, self.id));
-        self.chunks.set((0, 0));
+        self.chunks.take();
         Bytes::from(self.body.take())
     }
 
--- a/lib/daemon/src/dispatch/clients.rs
+++ b/lib/daemon/src/dispatch/clients.rs
@@ -1,5 +1,6 @@
 //! The clients of a process: their sockets, under the limits that [`Connections`] decides.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,9 +23,12 @@
 use tokio::sync::Notify;
 
 use crate::boot_clock::BootClock;
+use crate::dispatch::client_socket;
 use crate::dispatch::client_socket::ClientSocket;
 use crate::process_limits;
 
+/// The most refused connections that are given time to receive their answers.
+const MAX_REFUSING: usize = 32;
 /// The time between two attempts to admit a connection for a link.
 const ADMISSION_RETRY: Duration = Duration::from_millis(20);
 
@@ -38,6 +42,8 @@
     clock: BootClock,
     connections: RefCell<Connections>,
     holders: RefCell<SecondaryMap<ConnectionId, Holder>>,
+    /// The refused connections that are given time to receive their answers.
+    refusing: Cell<usize>,
 }
 
 /// What is closed when a connection is to be closed.
@@ -96,6 +102,7 @@
             clock: BootClock::start(),
             connections: RefCell::new(Connections::new(budget)),
             holders: RefCell::default(),
+            refusing: Cell::new(0),
         };
         Clients {
             inner: Rc::new(inner),
@@ -107,24 +114,36 @@
         self.inner.connections.borrow_mut().set_limits(port, limits);
     }
 
-    /// Admits a new connection.
-    ///
-    /// # Errors
-    ///
-    /// The stream, if there is no room for it.
+    /// Admits a new connection. Refuses it if there is no room for it.
     pub fn admit(
         &self,
         port: Port,
         stream: TcpStream,
         peer: SocketAddr,
-    ) -> Result<Rc<ClientSocket>, TcpStream> {
+    ) -> Option<Rc<ClientSocket>> {
         let Ok(id) = self.with(|c, now| c.open(now, port, peer)) else {
-            return Err(stream);
+            self.refuse(stream);
+            return None;
         };
         let socket = Rc::new(ClientSocket::new(self.clone(), id, stream));
         let mut holders = self.inner.holders.borrow_mut();
         holders.insert(id, Holder::Socket(socket.clone()));
-        Ok(socket)
+        Some(socket)
+    }
+
+    /// Refuses a connection. It is closed without an answer if too many others are being refused.
+    fn refuse(&self, stream: TcpStream) {
+        let refusing = self.inner.refusing.get();
+        if refusing == MAX_REFUSING {
+            return;
+        }
+        self.inner.refusing.set(refusing + 1);
+        let clients = self.clone();
+        actix_rt::spawn(async move {
+            client_socket::refuse_connection(stream).await;
+            let refusing = clients.inner.refusing.get();
+            clients.inner.refusing.set(refusing - 1);
+        });
     }
 
     /// Admits a connection for a link, as soon as there is room for it.
--- a/lib/daemon/src/dispatch/http.rs
+++ b/lib/daemon/src/dispatch/http.rs
@@ -4,7 +4,6 @@
 //! handler when its caller disconnects. The framework's own server would use threads of its own, so that each request
 //! would cross threads twice.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -37,7 +36,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
-use crate::dispatch::client_socket;
 use crate::dispatch::client_socket::ClientSocket;
 use crate::dispatch::client_socket::ClientStream;
 use crate::dispatch::clients::Clients;
@@ -49,8 +47,6 @@
 /// The kernel's buffers of a connection, in bytes. Without a limit the kernel holds megabytes for a client that does not
 /// read.
 const SOCKET_BUFFER: u32 = 64 << 10;
-/// The most refused connections that are given time to receive their answers.
-const MAX_REFUSED: usize = 32;
 
 /// A request with its whole body.
 pub struct Call {
@@ -130,7 +126,6 @@
     let Ok(service) = ServiceFactory::new_service(&factory, ()).await else {
         return;
     };
-    let refused = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -138,18 +133,8 @@
         };
         // Without the option small answers are late, but complete.
         let _ = stream.set_nodelay(true);
-        let socket = match clients.admit(port, stream, peer) {
-            Ok(socket) => socket,
-            Err(stream) if refused.get() < MAX_REFUSED => {
-                refused.set(refused.get() + 1);
-                let refused = refused.clone();
-                actix_rt::spawn(async move {
-                    client_socket::refuse_connection(stream).await;
-                    refused.set(refused.get() - 1);
-                });
-                continue;
-            }
-            Err(_) => continue,
+        let Some(socket) = clients.admit(port, stream, peer) else {
+            continue;
         };
         let connection = service.call((ClientStream(socket.clone()), Some(peer)));
         actix_rt::spawn(async move {
--- a/lib/src/dispatch/connections.rs
+++ b/lib/src/dispatch/connections.rs
@@ -27,6 +27,7 @@
 use crate::dispatch::connections::causes::CauseCounts;
 use crate::dispatch::connections::connection::Connection;
 use crate::dispatch::connections::connection::Phase;
+use crate::dispatch::connections::limits::PORTS;
 
 pub use crate::dispatch::connections::causes::Cause;
 pub use crate::dispatch::connections::causes::Notice;
@@ -36,6 +37,7 @@
 pub use crate::dispatch::connections::limits::LimitSettings;
 pub use crate::dispatch::connections::limits::MAX_DEFAULT_MEMORY_MB;
 pub use crate::dispatch::connections::limits::ORDINARY_BYTES;
+pub use crate::dispatch::connections::limits::Port;
 pub use crate::dispatch::connections::limits::ProcessLimits;
 
 new_key_type! {
@@ -64,24 +66,6 @@
 const ANSWER_INCLUDED: usize = 8 << 10;
 /// The time between two sweeps.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// The most connections on each of the ports that only operators and the box's own programs use.
-const MAX_MINOR_CONNECTIONS: usize = 64;
-
-/// The ports on which clients connect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Port {
-    /// Requests of callers, or heartbeats of a worker: what the process is there for.
-    Main,
-    /// Readiness checks.
-    Readiness,
-    /// Metrics.
-    Metrics,
-    /// Links to other processes, until their other ends have greeted.
-    Links,
-}
-
-/// The number of ports.
-const PORTS: usize = 4;
 
 /// What may be read from a connection now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -166,7 +150,7 @@
     ///
     /// The cause, if there is no room for it and no other connection may be closed for it.
     pub fn open(&mut self, now: Mono, port: Port, peer: SocketAddr) -> Result<ConnectionId, Cause> {
-        if self.open[port as usize] >= self.connection_limit(port) {
+        if self.open[port as usize] >= self.budget.connection_limit(port) {
             let longest = |_, c: &Connection, stall| (c.port == port).then_some(stall);
             if !self.close_one(now, Cause::Connections, longest) {
                 return Err(self.counts.count(Cause::Connections, peer));
@@ -183,16 +167,6 @@
         Ok(self.connections.insert(connection))
     }
 
-    /// Returns the most connections on a port.
-    fn connection_limit(&self, port: Port) -> usize {
-        let minor = (self.budget.connections / 16).clamp(1, MAX_MINOR_CONNECTIONS);
-        match port {
-            Port::Main => self.budget.connections.saturating_sub(2 * minor).max(1),
-            Port::Readiness | Port::Metrics => minor,
-            Port::Links => self.budget.greetings.max(1),
-        }
-    }
-
     /// Returns what may be read from a connection now.
     pub fn read_allowance(&self, id: ConnectionId) -> ReadAllowance {
         let Some(c) = self.connections.get(id) else {
@@ -257,8 +231,7 @@
         Ok(())
     }
 
-    /// Handles a part of a body before it is stored: `chunks` pieces of `bytes` in all, for which `added` bytes of memory
-    /// are taken.
+    /// Handles a part of a body before it is stored, with its size and the memory that is added to store it, in bytes.
     ///
     /// # Errors
     ///
--- a/lib/src/dispatch/connections/limits.rs
+++ b/lib/src/dispatch/connections/limits.rs
@@ -17,6 +17,25 @@
 /// The most links whose other ends have not greeted, on a box of any size. A fleet of more processes links within seconds.
 const MAX_GREETINGS: usize = 512;
 
+/// The most connections on each of the ports that only operators and the box's own programs use.
+const MAX_MINOR_CONNECTIONS: usize = 64;
+
+/// The ports on which clients connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Port {
+    /// Requests of callers, or heartbeats of a worker: what the process is there for.
+    Main,
+    /// Readiness checks.
+    Readiness,
+    /// Metrics.
+    Metrics,
+    /// Links to other processes, until their other ends have greeted.
+    Links,
+}
+
+/// The number of ports.
+pub(super) const PORTS: usize = 4;
+
 /// What a process may use, in all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -135,6 +154,16 @@
         }
     }
 
+    /// Returns the most connections on a port.
+    pub fn connection_limit(&self, port: Port) -> usize {
+        let minor = (self.connections / 16).clamp(1, MAX_MINOR_CONNECTIONS);
+        match port {
+            Port::Main => self.connections.saturating_sub(2 * minor).max(1),
+            Port::Readiness | Port::Metrics => minor,
+            Port::Links => self.greetings.max(1),
+        }
+    }
+
     /// Returns the most memory that requests which are larger than ordinary ones may leave held, in bytes. The rest is
     /// kept for ordinary ones.
     pub fn large_memory(&self) -> usize {
--- a/lib/src/dispatch/connections/tests.rs
+++ b/lib/src/dispatch/connections/tests.rs
@@ -153,7 +153,7 @@
         c.sweep(at_ms(n * 500));
     }
     assert!(c.take_closed().is_empty(), "in calm the client is served");
-    let limit = c.connection_limit(Port::Main);
+    let limit = budget().connection_limit(Port::Main);
     for _ in 1..limit {
         c.open(at_ms(50_000), Port::Main, peer()).expect("room");
     }
