--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod fault_proxy;
 pub mod load;
+pub mod odd_json;
 pub mod platform;
 pub mod random_run;
 pub mod stub_backend;
--- a/lib/testutils/src/platform/store.rs
+++ b/lib/testutils/src/platform/store.rs
@@ -42,6 +42,9 @@
     revision: u64,
     created_revision: u64,
     lease: u64,
+    /// The text that stands for the whole item in answers, which need not be valid JSON; none for that of a
+    /// well-formed item.
+    row: Option<Vec<u8>>,
 }
 
 #[derive(Debug, Default)]
@@ -64,17 +67,35 @@
 
 impl Contents {
     fn write(&mut self, key: &str, value: Option<(String, u64)>) {
-        self.revision += 1;
         let created_revision = self
             .items
             .get(key)
-            .map_or(self.revision, |s| s.created_revision);
+            .map_or(self.revision + 1, |s| s.created_revision);
         let stored = value.map(|(value, lease)| Stored {
             value,
-            revision: self.revision,
+            revision: self.revision + 1,
             created_revision,
             lease,
+            row: None,
         });
+        self.record(key, stored);
+    }
+
+    /// Writes an item that answers show as this text.
+    fn write_row(&mut self, key: &str, row: &[u8]) {
+        let revision = self.revision + 1;
+        let stored = Stored {
+            value: String::new(),
+            revision,
+            created_revision: revision,
+            lease: 0,
+            row: Some(row.to_owned()),
+        };
+        self.record(key, Some(stored));
+    }
+
+    fn record(&mut self, key: &str, stored: Option<Stored>) {
+        self.revision += 1;
         match &stored {
             Some(stored) => self.items.insert(key.to_owned(), stored.clone()),
             None => self.items.remove(key),
@@ -113,6 +134,16 @@
         self.contents.lock().unwrap().write(key, Some((value, 0)));
     }
 
+    /// Writes an item that answers show as this text, in place of a well-formed one. Its brackets and quotes
+    /// must be balanced.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock on the contents.
+    pub fn write_row(&self, key: &str, row: &[u8]) {
+        self.contents.lock().unwrap().write_row(key, row);
+    }
+
     /// Sets the faults that the store simulates.
     ///
     /// # Panics
@@ -207,15 +238,34 @@
     response
 }
 
-fn item_json(key: &str, stored: &Stored, at: u64) -> Value {
-    json!({
+/// Returns the text of an item.
+fn item_text(key: &str, stored: &Stored, at: u64) -> Vec<u8> {
+    if let Some(row) = &stored.row {
+        return row.clone();
+    }
+    let item = json!({
         "privateKey": key,
         "value": stored.value,
         "revision": stored.revision,
         "made": stored.created_revision,
         "lease": stored.lease,
         "at": at,
-    })
+    });
+    item.to_string().into_bytes()
+}
+
+/// Returns an answer with a list of items, and the other fields as JSON.
+fn list_response(name: &str, items: &[Vec<u8>], rest: &str) -> HttpResponse {
+    let head = format!(r#"{{"{name}":["#);
+    let rest = format!("],{rest}}}");
+    let body = [head.as_bytes(), &items.join(&b','), rest.as_bytes()].concat();
+    json_response(body)
+}
+
+fn json_response(body: Vec<u8>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .body(body)
 }
 
 #[derive(Deserialize)]
@@ -231,7 +281,7 @@
     let response = {
         let contents = state.contents.lock().unwrap();
         match contents.items.get(&query.private_key) {
-            Some(s) => HttpResponse::Ok().json(item_json(&query.private_key, s, contents.revision)),
+            Some(s) => json_response(item_text(&query.private_key, s, contents.revision)),
             None => HttpResponse::NotFound().finish(),
         }
     };
@@ -253,8 +303,8 @@
         let at = contents.revision;
         let matching = contents.items.iter();
         let matching = matching.filter(|(k, _)| k.starts_with(&query.path_prefix));
-        let items: Vec<Value> = matching.map(|(k, s)| item_json(k, s, at)).collect();
-        HttpResponse::Ok().json(json!({"items": items, "more": false, "at": at}))
+        let items: Vec<Vec<u8>> = matching.map(|(k, s)| item_text(k, s, at)).collect();
+        list_response("items", &items, &format!(r#""more":false,"at":{at}"#))
     };
     respond(&state, response).await
 }
@@ -284,21 +334,24 @@
             let changes = contents.history.iter();
             let changes =
                 changes.filter(|(r, k, _)| *r > query.after && k.starts_with(&query.path_prefix));
-            let events: Vec<Value> = changes.map(event_json).collect();
+            let events: Vec<Vec<u8>> = changes.map(event_text).collect();
             if !events.is_empty() || tokio::time::Instant::now() >= end {
                 let at = contents.revision;
-                return HttpResponse::Ok().json(json!({"events": events, "at": at}));
+                return list_response("events", &events, &format!(r#""at":{at}"#));
             }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-fn event_json(change: &(u64, String, Option<Stored>)) -> Value {
+fn event_text(change: &(u64, String, Option<Stored>)) -> Vec<u8> {
     let (revision, key, stored) = change;
     match stored {
-        Some(stored) => item_json(key, stored, *revision),
-        None => json!({"privateKey": key, "revision": revision, "gone": true}),
+        Some(stored) => item_text(key, stored, *revision),
+        None => {
+            let gone = json!({"privateKey": key, "revision": revision, "gone": true});
+            gone.to_string().into_bytes()
+        }
     }
 }
 
