executor: a worker's clock beyond all times ends no agent

What was seen: an agent whose worker, or another program at its address, answers with `clockMs` near the end of the number range ends ("attempt to add with overflow", `renewals.rs`), and with it the watch over all runs there. A reading that can't be read counted as 0, so that orders named no deadline.

Cause: the reading is added to a span without a check, and the release is built with overflow checks.

Evidence: `test_executor_worker_clock_too_large` panicked before, `test_executor_worker_clock_unreadable` saw a start with deadline 0; both pass now, with all tests of the library's state machines.

Why this works: a reading above 2^53 ms, or none, leaves the last one in force, which is carried on by the own clock as between two answers.

--- a/lib/src/dispatch/executor/hold_replies.rs
+++ b/lib/src/dispatch/executor/hold_replies.rs
@@ -24,6 +24,10 @@
 /// The cause of lost runs in the log: the worker did not answer, and their keepalive has expired.
 const CAUSE_EXPIRED: &str = "runs were not kept alive";
 
+/// The largest reading of a worker's clock that is taken for one, in milliseconds. No time since a start comes near
+/// it, and a time can be added to it. Others, and 0 for one that could not be read, leave the last one in force.
+const MAX_CLOCK_MS: u64 = 1 << 53;
+
 impl Executor {
     /// Handles the reply to a hold.
     pub fn handle_hold_reply(&mut self, now: Mono, mut reply: HoldReply) {
@@ -211,7 +215,9 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        worker.clock = Some((clock_ms, now));
+        if (1..=MAX_CLOCK_MS).contains(&clock_ms) {
+            worker.clock = Some((clock_ms, now));
+        }
         worker.silent_since = None;
         self.refused_since = None;
         let recovered = !worker.responsive;
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod incarnations;
 mod leases;
+mod odd_numbers;
 mod orders;
 mod pace;
 mod preemption;
