executor: the last number of a run ends no agent

What was seen: a start with the highest number of an attempt that the worker refuses as old ends the agent ("attempt to add with overflow", `runs.rs`).

Cause: the number of the run is raised without a check.

Evidence: `test_executor_orders_extreme_numbers`, which sends orders in which each number is the highest, panicked before and passes now. Nothing else in those orders did harm.

Why this works: the sums saturate, so the start counts as refused for good and the task goes back to its scheduler.

--- a/lib/src/dispatch/executor/runs.rs
+++ b/lib/src/dispatch/executor/runs.rs
@@ -348,9 +348,10 @@
             let within = self.setup.policy.orders.start_within;
             let run = self.runs.get_mut(&name.task).expect("run exists");
             if reason == StartRefusal::Old {
-                run.run += 1;
+                run.run = run.run.saturating_add(1);
             }
-            if run.run < run.attempt + MAX_RENUMBER && now.since(run.started_at) < within {
+            let last = run.attempt.saturating_add(MAX_RENUMBER);
+            if run.run < last && now.since(run.started_at) < within {
                 return self.send_start(now, name.task);
             }
         }
