scheduler: an executor's report of extreme room ends no entry

What was seen: reports in which the free room is at the end of the number range end the entry that receives them ("attempt to add with overflow" in a sum over all executors).

Cause: the room is taken as reported, less what is ordered, and summed up, without a check.

Evidence: `test_scheduler_executor_extreme_numbers` panicked before and passes now. `test_scheduler_peer_extreme_numbers`, the same for peers, passed before.

Why this works: what counts as free at one executor is limited to 2^40 of each resource, far above what a worker can say of itself, so that the sum over all executors stays in range.

--- a/lib/src/dispatch/scheduler/executor_view.rs
+++ b/lib/src/dispatch/scheduler/executor_view.rs
@@ -19,6 +19,10 @@
 use crate::prelude::*;
 use crate::protos::dispatch as proto;
 
+/// The most of a resource that counts as free, or as overcommitted, at one executor: far more than a worker can say
+/// that it has, and little enough for the sum over all executors.
+const MAX_FREE: i64 = 1 << 40;
+
 /// The state of an executor, as one scheduler knows it.
 #[derive(Clone, Debug)]
 pub(super) struct ExecutorView {
@@ -301,10 +305,11 @@
         while self.uncounted.front().is_some_and(|(s, _)| *s <= counted) {
             self.uncounted.pop_front();
         }
+        let limited = |free: i64| free.clamp(-MAX_FREE, MAX_FREE);
         let mut free = FreeCapacity {
-            cpu_milli: report.free_cpu_milli,
-            memory_mb: report.free_memory_mb,
-            gpu: report.free_gpu,
+            cpu_milli: limited(report.free_cpu_milli),
+            memory_mb: limited(report.free_memory_mb),
+            gpu: limited(report.free_gpu),
         };
         for (_, demand) in &self.uncounted {
             free = free.less(*demand);
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -14,6 +14,7 @@
 mod evacuations;
 mod handoff;
 mod links;
+mod odd_numbers;
 mod preemption;
 mod recovery;
 mod refusals;
