scheduler: a job of extreme size ends no entry

What was seen: one job of tasks with the largest `cpu` and `estimateMs`, which any caller can submit, ends an entry whose policy has contention or balancing on ("attempt to add with overflow", `contention.rs`). Its caller then brings it to the next entry.

Cause: the work of a job's tasks is multiplied and summed up without a check.

Evidence: `test_scheduler_job_extreme_numbers` panicked before and passes now; other jobs are served beside it.

Why this works: the work saturates, as the backlogs into which it goes do already.

--- a/lib/src/dispatch/scheduler/contention.rs
+++ b/lib/src/dispatch/scheduler/contention.rs
@@ -464,12 +464,13 @@
             .sum()
     }
 
-    /// Returns the work of its ready tasks, in thousandths of a core-second.
+    /// Returns the work of its ready tasks, in thousandths of a core-second. The values come from the caller, so
+    /// the sum saturates.
     fn ready_work(&self) -> u64 {
         let work = self
             .ready_tasks()
-            .map(|(d, expected)| u64::from(d.cpu_milli) * millis(expected));
-        work.sum::<u64>() / 1000
+            .map(|(d, expected)| u64::from(d.cpu_milli).saturating_mul(millis(expected)));
+        work.fold(0, u64::saturating_add) / 1000
     }
 
     /// Returns the CPU that the smallest of its ready tasks needs.
--- a/lib/tests/runner/test_scheduler/odd_numbers.rs
+++ b/lib/tests/runner/test_scheduler/odd_numbers.rs
@@ -178,3 +178,40 @@
         }
     }
 }
+
+/// Submits a job of extreme numbers and checks that ordinary jobs go on.
+fn submit_extreme_job(bench: &mut Bench) {
+    bench.report(Vec::new());
+    let step = Step {
+        count: 2,
+        demand: Demand {
+            cpu_milli: u32::MAX,
+            memory_mb: u32::MAX,
+            gpu: u32::MAX,
+        },
+        estimate_ms: u32::MAX,
+        spread: u32::MAX,
+        ..Step::default()
+    };
+    let request = JobRequest {
+        number: JobNumber(77),
+        queue: "q".to_owned(),
+        spec: Rc::from("x"),
+        steps: vec![step; 400],
+        patience_ms: u64::MAX,
+        call: Rc::default(),
+    };
+    bench.scheduler.submit(bench.now, CallerId(77), request);
+    bench.collect_actions();
+    go_on(bench, 1);
+    bench.report(Vec::new());
+    assert!(!bench.starts().is_empty(), "ordinary jobs go on");
+}
+
+/// A job of extreme numbers must not end the process: any caller can submit one.
+#[test]
+fn test_scheduler_job_extreme_numbers() {
+    for policy in policies() {
+        submit_extreme_job(&mut linked(policy));
+    }
+}
