scheduler: a queue of extreme extension ends no entry

What was seen: a configuration with an `extension` of 1e300 ends an entry with the first job of that queue ("cannot convert float seconds to Duration"), and each entry after it. A peer passes such a configuration on.

Cause: a span is multiplied by the value without a check.

Evidence: `test_scheduler_queue_extreme_numbers` panicked before and passes now.

Why this works: the value counts up to 1e6, with which the objective of the longest possible job is still a duration.

--- a/lib/src/dispatch/scheduler/jobs.rs
+++ b/lib/src/dispatch/scheduler/jobs.rs
@@ -15,6 +15,9 @@
 use crate::dispatch::policy::Admission;
 use crate::prelude::*;
 
+/// The largest `extension` of a queue that counts. The objective of the longest job is still a duration with it.
+const MAX_EXTENSION: f64 = 1e6;
+
 /// Progress of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TaskState {
@@ -126,9 +129,10 @@
         let expected: Vec<Duration> = request.steps.iter().map(estimate).collect();
         let critical_path = critical_paths(&request.steps, &expected);
         let total = critical_path.iter().copied().max().unwrap_or_default();
-        let objective = total.mul_f64(queue.extension.max(1.0))
+        let extension = queue.extension.min(MAX_EXTENSION);
+        let objective = total.mul_f64(extension.max(1.0))
             + Duration::from_millis(u64::from(queue.objective_ms));
-        let spare_factor = (queue.extension - policy.slow_allowance).max(0.0) * policy.sure_share;
+        let spare_factor = (extension - policy.slow_allowance).max(0.0) * policy.sure_share;
         let start_window =
             Duration::from_millis(u64::from(queue.objective_ms)) + total.mul_f64(spare_factor);
         let start_window = start_window.min(policy.longest_wait);
@@ -161,7 +165,7 @@
             expires_at,
             preempted_at: None,
             waiting_key: None,
-            extension: queue.extension.max(1.0),
+            extension: extension.max(1.0),
             held_back: false,
             expected,
             critical_path,
--- a/lib/tests/runner/test_scheduler/odd_numbers.rs
+++ b/lib/tests/runner/test_scheduler/odd_numbers.rs
@@ -215,3 +215,20 @@
         submit_extreme_job(&mut linked(policy));
     }
 }
+
+/// Neither must a queue with them, which a configuration can have.
+#[test]
+fn test_scheduler_queue_extreme_numbers() {
+    for policy in policies() {
+        for extension in [-1.0, 0.0, 1e30, 1e300] {
+            let mut bench = linked(policy);
+            let mut next = catalog(9);
+            next.queues[0].extension = extension;
+            next.queues[0].objective_ms = u32::MAX;
+            next.queues[0].priority = u32::MAX;
+            next.queues[0].max_attempts = u32::MAX;
+            bench.scheduler.set_catalog(bench.now, next);
+            submit_extreme_job(&mut bench);
+        }
+    }
+}
