consul: an odd entry doesn't fail the whole list of boxes

Cause: the list was parsed as a whole.

Why this works: each entry is split off unread and parsed by itself.

--- a/lib/daemon/src/consul.rs
+++ b/lib/daemon/src/consul.rs
@@ -12,6 +12,7 @@
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use stackcourse_lib::store::Stored;
 
 use crate::boxes::BoxList;
@@ -121,6 +122,15 @@
     }))
 }
 
+/// Parses an entry of the list of boxes. Other programs register there as well, so one that can't be read must not
+/// hide the others.
+fn parse_health(entry: &RawValue) -> Option<ServiceHealth> {
+    let parsed = serde_json::from_str(entry.get());
+    parsed
+        .map_err(|e| log::debug!("an entry of the list of boxes can't be read: {e}"))
+        .ok()
+}
+
 impl Store for ConsulStore {
     async fn get(&self, key: &str) -> Result<Option<Stored>, StoreError> {
         let url = format!("{}?consistent", self.key_url(key));
@@ -179,10 +189,11 @@
         if status != 200 {
             return Err(StoreError::Refused(status));
         }
-        let all: Vec<ServiceHealth> = serde_json::from_slice(&body).map_err(malformed)?;
+        let all: Vec<&RawValue> = serde_json::from_slice(&body).map_err(malformed)?;
         let in_maintenance = |c: &Check| c.id == MAINTENANCE_CHECK && c.status == "critical";
         let leaving: HashSet<String> = all
             .into_iter()
+            .filter_map(parse_health)
             .filter(|s| s.checks.iter().any(in_maintenance))
             .map(|s| s.service.id)
             .collect();
--- a/lib/daemon/tests/runner/main.rs
+++ b/lib/daemon/tests/runner/main.rs
@@ -2,6 +2,7 @@
 
 mod test_boot_clock;
 mod test_channel;
+mod test_consul;
 mod test_division;
 mod test_follow;
 mod test_http_call;
