--- a/lib/daemon/tests/runner/test_channel.rs
+++ b/lib/daemon/tests/runner/test_channel.rs
@@ -13,6 +13,7 @@
 use stackcourse_daemon::dispatch::channel::LinkDecision;
 use stackcourse_daemon::dispatch::channel::LinkEnd;
 use stackcourse_daemon::dispatch::channel::LinkHandler;
+use stackcourse_daemon::dispatch::links;
 use stackcourse_daemon::dispatch::traffic::Traffic;
 use stackcourse_lib::dispatch::policy::Links as LinkPolicy;
 use stackcourse_lib::prelude::LinkId;
@@ -108,3 +109,27 @@
     assert!(handler.closed_locally.get());
     assert_eq!(handler.traffic.waiting(), [0, 0], "the queue is dropped");
 }
+
+/// A frame of deep nesting is an error, which ends its link and not the process.
+#[test]
+fn test_channel_deeply_nested_frame() {
+    const GROUP_START: u8 = 15 << 3 | 3;
+    const GROUP_END: u8 = 15 << 3 | 4;
+    for levels in [129, 10_000, 100_000] {
+        let frame = [vec![GROUP_START; levels], vec![GROUP_END; levels]].concat();
+        assert!(proto::Frame::decode(&frame[..]).is_err(), "{levels} levels");
+    }
+}
+
+/// Members without an address that can be dialled are skipped, and the others are dialled.
+#[test]
+fn test_channel_odd_member_addresses() {
+    let addresses = ["10.0.0.1:65536", "10.0.0.1:-1", "", "x", "10.0.0.2:7720"];
+    let member = |address: &&str| proto::Member {
+        address: (*address).to_owned(),
+        ..proto::Member::default()
+    };
+    let members: Vec<proto::Member> = addresses.iter().map(member).collect();
+    let dialled = links::addresses(&members);
+    assert_eq!(dialled, ["10.0.0.2:7720".parse().expect("an address")]);
+}
