agent: rows of a worker's lists that can't be read are logged

What was seen: nothing. A row that can't be read was left out without a word.

Evidence: `test_odd_worker_rows_are_reported` sees none with the report taken out ("left: []") and one for each such row now, each once.

--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -54,6 +54,10 @@
     ) -> impl Future<Output = OrderReply>;
     /// Renews the runs and lists them.
     fn hold(&self, call: HoldCall) -> impl Future<Output = HoldReply>;
+    /// Takes the descriptions of the rows of its lists that could not be read, each once.
+    fn take_faults(&self) -> Vec<String> {
+        Vec::new()
+    }
 }
 
 /// An executor with its links and its worker. Cheap to clone.
@@ -215,6 +219,9 @@
         let host = self.clone();
         actix_rt::spawn(async move {
             let reply = host.inner.worker.hold(call).await;
+            for fault in host.inner.worker.take_faults() {
+                host.log(Kind::UnreadableRow, fault);
+            }
             host.with(|e, now| e.handle_hold_reply(now, reply));
         });
     }
--- a/lib/src/event.rs
+++ b/lib/src/event.rs
@@ -115,6 +115,7 @@
     WorkerAnswers = 425, Info, "the worker answers again";
     InvalidHeartbeat = 426, Warn, "a heartbeat is invalid, outdated or from another worker; it is rejected";
     EndSkipped = 427, Warn, "the worker lists the end of a run under a number that was used before; the end is skipped";
+    UnreadableRow = 428, Warn, "a row of the worker's lists can't be read; it names no run";
     StartUnanswered = 430, Warn, "a start got no answer; its run is stopped";
     StartRefused = 431, Info, "the worker refused a start";
     FenceRaised = 432, Warn, "the worker has seen a higher fencing token; the token is raised";
