scheduler: answer what comes after the last answers

An entry that leaves answers all waiting callers, waits for the answers to be sent and exits. A request that came in between registered a caller whom nobody answers any more: it was handed off, followed at a peer, started here, or forwarded to another partition, and the connection ended with the process, without an answer.

Cause: `abandon` swept the waiters, but the state machines went on accepting as before.

After `abandon` the scheduler and the forwarder are in a final state, in which no waiter is registered (asserted on each `take_actions`). The scheduler refuses what has not run and runs nowhere, answers `Unknown` where a peer may run it (a job that it handed off included), and goes on answering with what is known; a peer that hands a job off is refused. The forwarder knows nothing of earlier submissions elsewhere, so it never says that a job has not run. A cancel that is acknowledged then is told to peers at once and to executors with the next tick, since there may be no later update.

--- a/lib/src/dispatch/forwarder.rs
+++ b/lib/src/dispatch/forwarder.rs
@@ -136,6 +136,8 @@
     now: Mono,
     /// When the last pause of this process ended.
     awake_since: Mono,
+    /// Whether all callers were answered for the last time.
+    is_closed: bool,
 }
 
 impl Forwarder {
@@ -161,6 +163,7 @@
             actions: Vec::new(),
             now: Mono::default(),
             awake_since: Mono::default(),
+            is_closed: false,
         }
     }
 
@@ -191,17 +194,24 @@
         now.since(self.last_request)
     }
 
-    /// Answers all open requests as without a result, since the process ends.
+    /// Answers all open requests as without a result, since the process ends. Requests that come from now on
+    /// are answered likewise at once, since nobody would answer them later.
     pub fn abandon(&mut self, now: Mono) {
         self.advance_clock(now);
+        self.is_closed = true;
         for (caller, call) in std::mem::take(&mut self.calls) {
-            let number = call.number();
-            self.log(Kind::ForwardFailed, format!("{number} leaving"));
-            let outcome = call.outcome_if_lost();
-            self.actions.push(Action::Answer(caller, outcome));
+            self.answer_lost(caller, &call);
         }
     }
 
+    /// Answers a request as without a result.
+    fn answer_lost(&mut self, caller: CallerId, call: &Call) {
+        let number = call.number();
+        self.log(Kind::ForwardFailed, format!("{number} leaving"));
+        let outcome = call.outcome_if_lost();
+        self.actions.push(Action::Answer(caller, outcome));
+    }
+
     /// Returns the counters of forwarded requests.
     pub fn counts(&self) -> ForwarderCounts {
         self.counts
@@ -242,8 +252,11 @@
         self.counts.requests += 1;
         self.last_request = now;
         let partition = self.partitions.of_job(request.number());
-        self.calls
-            .insert(caller, Call::new(now, partition, request));
+        let call = Call::new(now, partition, request);
+        if self.is_closed {
+            return self.answer_lost(caller, &call);
+        }
+        self.calls.insert(caller, call);
         self.place_request(caller);
     }
 
@@ -347,6 +360,10 @@
 
     /// Returns the actions to carry out, and forgets them.
     pub fn take_actions(&mut self) -> Vec<Action> {
+        debug_assert!(
+            !self.is_closed || self.is_idle(),
+            "a caller waits after the last answers"
+        );
         for key in std::mem::take(&mut self.pending_targets) {
             if let Some((link, forward)) = self.targets.get_mut(key).and_then(Target::take_message)
             {
--- a/lib/src/dispatch/forwarder/tests.rs
+++ b/lib/src/dispatch/forwarder/tests.rs
@@ -359,6 +359,26 @@
     assert!(harness.take_actions().contains(&answer));
 }
 
+/// Guards against callers without an answer: nobody sweeps what is forwarded after the last answers. The job may
+/// run for another caller, so that it is not refused.
+#[test]
+fn test_forwarder_requests_after_last_answers() {
+    let mut harness = Harness::new();
+    harness.submit_and_link();
+    harness.forwarder.abandon(time_at(20));
+    harness.take_actions();
+    let (job, number) = (harness.job(1), harness.job(2).number);
+    harness.forwarder.submit(time_at(30), CallerId(5), job);
+    harness.forwarder.cancel(time_at(30), CallerId(6), number);
+    let uncertain = CancelReply::Uncertain.outcome();
+    let expected = [
+        Action::Answer(CallerId(5), JobOutcome::Unknown),
+        Action::Answer(CallerId(6), uncertain),
+    ];
+    assert_eq!(harness.take_actions(), expected, "answered, and not sent");
+    assert!(harness.forwarder.is_idle());
+}
+
 #[test]
 fn test_forwarder_idle_link() {
     let mut harness = Harness::new();
--- a/lib/src/dispatch/scheduler.rs
+++ b/lib/src/dispatch/scheduler.rs
@@ -22,6 +22,7 @@
 mod handoff;
 mod jobs;
 mod leases;
+mod leaving;
 mod members;
 mod metrics;
 mod pace;
@@ -197,6 +198,8 @@
     time_ratios: HashMap<String, f64>,
     /// When the process will end, once it is leaving.
     leaving: Option<Mono>,
+    /// Whether all callers were answered for the last time.
+    is_closed: bool,
     last_accepted: Mono,
     rng: SmallRng,
     counts: SchedulerCounts,
@@ -253,6 +256,7 @@
             zones_flushed: 0,
             time_ratios: HashMap::new(),
             leaving: None,
+            is_closed: false,
             last_accepted: Mono::default(),
             rng,
             counts: SchedulerCounts::default(),
@@ -301,6 +305,7 @@
 
     /// Flushes collected messages and returns the actions to carry out.
     pub fn take_actions(&mut self) -> Vec<Action> {
+        self.check_closed();
         self.flush();
         std::mem::take(&mut self.actions)
     }
@@ -330,47 +335,11 @@
         self.jobs.is_empty() && self.following.is_empty()
     }
 
-    /// Starts leaving: the scheduler is no longer ready, but still accepts jobs that can end before
-    /// `ends_at`.
-    pub fn leave(&mut self, now: Mono, ends_at: Mono) {
-        self.advance_clock(now);
-        self.leaving = Some(ends_at);
-        self.log(Kind::Leaving, self.setup.name.clone());
-    }
-
-    /// Returns whether the process is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.is_some()
-    }
-
-    /// Returns whether a job is expected to outlast this process.
-    fn outlasts_process(&self, job: &Job) -> bool {
-        let total = job.critical_path.iter().copied().max().unwrap_or_default();
-        let needed = total.mul_f64(self.setup.policy.leaving.room_to_end)
-            + self.setup.policy.reports.heartbeat;
-        self.leaving.is_some_and(|at| self.now + needed > at)
-    }
-
     /// Returns how long ago the last job was accepted.
     pub fn quiet_time(&self, now: Mono) -> Duration {
         now.since(self.last_accepted)
     }
 
-    /// Gives up all jobs and answers every waiting caller, so that the process can exit.
-    pub fn abandon(&mut self, now: Mono) {
-        self.advance_clock(now);
-        let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
-        for number in numbers {
-            self.give_up(number, "leaving");
-        }
-        for (_, following) in std::mem::take(&mut self.following) {
-            for caller in following.callers {
-                self.actions
-                    .push(Action::Answer(caller, JobOutcome::Unknown));
-            }
-        }
-    }
-
     /// Runs the periodic work: timeouts, claims and placement.
     pub fn tick(&mut self, now: Mono) {
         self.advance_clock(now);
--- a/lib/src/dispatch/scheduler/cancels.rs
+++ b/lib/src/dispatch/scheduler/cancels.rs
@@ -40,7 +40,8 @@
         self.log_dropped_cancel(dropped);
         self.end_cancelled_job(number);
         self.pass_cancel_on(number);
-        self.cancel_at_executors(number, !reachable);
+        // The last update may have been sent.
+        self.cancel_at_executors(number, !reachable || self.is_closed);
         self.place();
         self.cancel_reply()
     }
@@ -125,7 +126,7 @@
         let linked = self.peers.iter_mut().filter(|(_, p)| p.link.is_some());
         for (name, peer) in linked {
             peer.outgoing.cancel.push(number.0);
-            peer.cancels_urgently |= holders.contains(name);
+            peer.cancels_urgently |= self.is_closed || holders.contains(name);
         }
     }
 
--- /dev/null
+++ b/lib/src/dispatch/scheduler/leaving.rs
@@ -0,0 +1,75 @@
+//! The orderly shutdown of a scheduler. It runs on for some time, in which it accepts what can still end here,
+//! and then answers all callers for the last time. Nobody would answer a caller that waits after that, so
+//! whatever still comes is answered at once.
+
+use super::Action;
+use super::CallerId;
+use super::Scheduler;
+use super::jobs::Job;
+use crate::dispatch::model::JobNumber;
+use crate::dispatch::model::JobOutcome;
+use crate::dispatch::model::JobRequest;
+use crate::event::Kind;
+use crate::prelude::*;
+
+/// The cause of refusals of jobs that would outlast this process.
+pub(super) const LEAVING: &str = "leaving";
+
+impl Scheduler {
+    /// Starts leaving: the scheduler is no longer ready, but still accepts jobs that can end before
+    /// `ends_at`.
+    pub fn leave(&mut self, now: Mono, ends_at: Mono) {
+        self.advance_clock(now);
+        self.leaving = Some(ends_at);
+        self.log(Kind::Leaving, self.setup.name.clone());
+    }
+
+    /// Returns whether the process is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Gives up all jobs and answers every waiting caller, so that the process can exit. Whatever comes from
+    /// now on is answered at once.
+    pub fn abandon(&mut self, now: Mono) {
+        self.advance_clock(now);
+        self.is_closed = true;
+        let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            self.give_up(number, LEAVING);
+        }
+        for (number, following) in std::mem::take(&mut self.following) {
+            // The peer may run the job, so it is not refused if it comes again.
+            self.record_outcome(number, JobOutcome::Unknown, true);
+            for caller in following.callers {
+                self.actions
+                    .push(Action::Answer(caller, JobOutcome::Unknown));
+            }
+        }
+    }
+
+    /// Returns whether a job is expected to outlast this process.
+    pub(super) fn outlasts_process(&self, job: &Job) -> bool {
+        let total = job.critical_path.iter().copied().max().unwrap_or_default();
+        let needed = total.mul_f64(self.setup.policy.leaving.room_to_end)
+            + self.setup.policy.reports.heartbeat;
+        self.leaving.is_some_and(|at| self.now + needed > at)
+    }
+
+    /// Answers a request that comes after the last answers. It is refused only if the job has not run and runs
+    /// nowhere.
+    pub(super) fn turn_away(&mut self, caller: CallerId, request: &JobRequest) {
+        let number = request.number;
+        let began = self.ended.get(&number).is_some_and(|e| e.began);
+        if began || self.announced.is_announced(number) || self.may_run_elsewhere() {
+            return self.answer_unknown(caller, request, LEAVING);
+        }
+        self.refuse_request(caller, request, LEAVING);
+    }
+
+    /// Asserts that no caller waits after the last answers.
+    pub(super) fn check_closed(&self) {
+        let waits = !self.is_idle();
+        debug_assert!(!self.is_closed || !waits, "a caller is never answered");
+    }
+}
--- a/lib/src/dispatch/scheduler/submission.rs
+++ b/lib/src/dispatch/scheduler/submission.rs
@@ -10,6 +10,7 @@
 use super::executor_view::ExecutorView;
 use super::jobs::Job;
 use super::jobs::TaskState;
+use super::leaving::LEAVING;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
@@ -17,9 +18,6 @@
 use crate::event::Kind;
 use crate::prelude::*;
 
-/// The cause of refusals of jobs that would outlast this process.
-const LEAVING: &str = "leaving";
-
 /// A request that can't be accepted, and why.
 struct Rejection {
     request: JobRequest,
@@ -47,6 +45,9 @@
             self.actions.push(Action::Answer(caller, outcome));
             return;
         }
+        if self.is_closed {
+            return self.turn_away(caller, &request);
+        }
         if let Some(peer) = self.linked_holder(number) {
             return self.follow(&peer, caller, request);
         }
@@ -117,7 +118,7 @@
         if !claim && self.has_no_executor() {
             return rejection(job.request, "no-executor");
         }
-        if self.outlasts_process(&job) {
+        if self.is_closed || self.outlasts_process(&job) {
             return rejection(job.request, LEAVING);
         }
         if !claim && self.would_start_late(&job) {
@@ -133,15 +134,7 @@
     fn reject(&mut self, caller: CallerId, rejection: Rejection, claim: bool) {
         let Rejection { request, cause } = rejection;
         if claim {
-            self.count_cause(cause);
-            let outcome = JobOutcome::Unknown;
-            self.count_outcome(outcome);
-            let (number, call) = (request.number, &request.call);
-            self.log(
-                Kind::JobFailed,
-                format!("{number} unknown {cause} request {call}"),
-            );
-            return self.actions.push(Action::Answer(caller, outcome));
+            return self.answer_unknown(caller, &request, cause);
         }
         let request = if cause == LEAVING && self.setup.policy.leaving.hand_on {
             match self.hand_off(caller, request) {
@@ -187,7 +180,12 @@
     }
 
     /// Refuses a request that was not accepted.
-    fn refuse_request(&mut self, caller: CallerId, request: &JobRequest, cause: &'static str) {
+    pub(super) fn refuse_request(
+        &mut self,
+        caller: CallerId,
+        request: &JobRequest,
+        cause: &'static str,
+    ) {
         let outcome = self.refusal();
         self.count_cause(cause);
         self.count_outcome(outcome);
@@ -196,6 +194,24 @@
         self.actions.push(Action::Answer(caller, outcome));
     }
 
+    /// Answers a request whose job is not run here, but may be running elsewhere.
+    pub(super) fn answer_unknown(
+        &mut self,
+        caller: CallerId,
+        request: &JobRequest,
+        cause: &'static str,
+    ) {
+        let outcome = JobOutcome::Unknown;
+        self.count_cause(cause);
+        self.count_outcome(outcome);
+        let (number, call) = (request.number, &request.call);
+        self.log(
+            Kind::JobFailed,
+            format!("{number} unknown {cause} request {call}"),
+        );
+        self.actions.push(Action::Answer(caller, outcome));
+    }
+
     /// Returns a refusal with a retry delay that spreads out callers.
     pub(super) fn refusal(&mut self) -> JobOutcome {
         JobOutcome::Refused(self.retry_delay_ms())
--- a/lib/tests/runner/test_scheduler.rs
+++ b/lib/tests/runner/test_scheduler.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod evacuations;
 mod handoff;
+mod leaving;
 mod links;
 mod odd_numbers;
 mod preemption;
