scheduler: keep the first caller of a job that is handed off twice

A job that came to a leaving entry twice within a few milliseconds was handed off twice, and the second time replaced the record of the first caller, who was never answered, not even when the entry answered all others for the last time.

Cause: what a peer holds is known by its announcements, and the peer that a job was just handed off to has not announced it yet. Balancing notes the peer as the holder itself; the handoff of a leaving entry did not.

The test is red before (`handed off once: left 2, right 1`), green after, with all others of the crate's runner (298).

--- a/lib/src/dispatch/scheduler/handoff.rs
+++ b/lib/src/dispatch/scheduler/handoff.rs
@@ -40,6 +40,8 @@
         self.log(Kind::JobHandedOff, detail);
         // A scheduler at which this job is submitted again meanwhile must not take it for a new one.
         self.announce(number);
+        // Callers that submit the job again here, before the peer has announced it, follow it there.
+        self.announced.record(number, &name, self.now);
         let following = FollowedJob {
             peer: name,
             callers: vec![caller],
--- a/lib/tests/runner/test_scheduler/leaving.rs
+++ b/lib/tests/runner/test_scheduler/leaving.rs
@@ -175,3 +175,17 @@
     let told = bench.orders().iter().any(|o| o.cancel.contains(&7));
     assert!(told, "the executor is told before the next heartbeat");
 }
+
+/// Guards against a caller without an answer: the job comes again before the peer that runs it has announced it.
+#[test]
+fn test_leaving_handed_job_joined() {
+    let mut bench = with_peer();
+    let ends_at = bench.now + Duration::from_millis(1000);
+    bench.scheduler.leave(bench.now, ends_at);
+    bench.submit_estimated(1, 7, 1, 900);
+    bench.submit_estimated(2, 7, 1, 900);
+    assert_eq!(bench.handed_jobs(), 1, "handed off once");
+    bench.end_job_on(PEER, 7, JobOutcome::Completed);
+    let completed = JobOutcome::Completed;
+    assert_eq!(bench.answers(), [(1, completed), (2, completed)]);
+}
