--- a/lib/testutils/src/platform/process.rs
+++ b/lib/testutils/src/platform/process.rs
@@ -3,6 +3,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// The unit of the times in `stat`.
+const TICK: Duration = Duration::from_millis(10);
+/// The position of the time in user mode among the fields of `stat` that follow the name.
+const USER_TIME_FIELD: usize = 11;
+
 /// Reads what a process holds from its directory under `/proc`.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessInfo {
@@ -41,6 +46,21 @@
         Duration::from_nanos(nanoseconds.expect("a time in nanoseconds"))
     }
 
+    /// Returns the processor time that the process has used so far in user and in kernel mode.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not run.
+    pub fn cpu_split(&self) -> [Duration; 2] {
+        let stat = std::fs::read_to_string(self.path("stat")).expect("the process runs");
+        let (_, fields) = stat.rsplit_once(')').expect("the name in brackets");
+        let mut times = fields.split_whitespace().skip(USER_TIME_FIELD);
+        [(); 2].map(|()| {
+            let ticks = times.next().and_then(|n| n.parse::<u64>().ok());
+            TICK * ticks.expect("a time in ticks") as u32
+        })
+    }
+
     /// Returns the number of file descriptors that the process has open.
     ///
     /// # Panics
