executor: a worker without a run is asked for its lists five times a second instead of forty

Cause: an agent asks its worker for its lists without pause, each time with a wait of 25 ms (`orders.hold_wait_ms`), also while nothing runs there and nothing is awaited.

While nothing runs or is queued, the worker answers, and its incarnation is certain, the wait is 200 ms (`orders.idle_wait_ms`). A start, or a heartbeat of another incarnation, sends the next hold at once beside the long one; replies are told apart by number, and one to an earlier hold than the newest is ignored, as a lost one is: its lists may be older than the start. A long hold that is left without an answer counts from when a short one would have failed, so that a worker that hangs is noticed after 290 ms at most (265 ms with short holds); one that is gone refuses or ends its connection, which shows at once as before.

Leases: a deadline is reckoned from the worker's last answer, which is up to 220 ms old at the first start: 4.4 ms more with a clock that runs 2 % slow, so runs end 1,266 ms after the last reading at the latest, before the lapse of 1,300 ms.

Tests: with the long wait set to 0, which is what stood, 40 holds a second without a run (bound 6), and no hold with the start or the heartbeat (three of the five tests of `test_executor/idle.rs` red); green after, with all 294 of the crate's runner. Three places of the tests of incarnations answered the hold that was open when a heartbeat arrived; they name it by its number now, and assert the same.

--- a/lib/daemon/src/dispatch/executor_host.rs
+++ b/lib/daemon/src/dispatch/executor_host.rs
@@ -218,11 +218,12 @@
     fn call_hold(&self, call: HoldCall) {
         let host = self.clone();
         actix_rt::spawn(async move {
+            let number = call.number;
             let reply = host.inner.worker.hold(call).await;
             for fault in host.inner.worker.take_faults() {
                 host.log(Kind::UnreadableRow, fault);
             }
-            host.with(|e, now| e.handle_hold_reply(now, reply));
+            host.with(|e, now| e.handle_hold_reply(now, number, reply));
         });
     }
 }
--- a/lib/src/dispatch/executor.rs
+++ b/lib/src/dispatch/executor.rs
@@ -95,7 +95,8 @@
     /// Send a stop to the worker and pass the reply to [`Executor::handle_stop_reply`]: the id of the
     /// worker's incarnation, the run and the fencing token.
     Stop(String, RunName, u64),
-    /// Send a hold to the worker and pass the reply to [`Executor::handle_hold_reply`].
+    /// Send a hold to the worker and pass its number and the reply to [`Executor::handle_hold_reply`]. It may
+    /// be sent while an earlier one is open.
     Hold(HoldCall),
     /// Connect to those of these schedulers that are not linked yet.
     Dial(Vec<proto::Member>),
@@ -176,6 +177,14 @@
     lower_sequence: Option<(u64, Mono)>,
 }
 
+/// A hold that was sent and not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct PendingHold {
+    sent: Mono,
+    /// Whether the worker keeps it open for `orders.idle_wait`.
+    idle: bool,
+}
+
 /// The executor's state.
 pub struct Executor {
     setup: ExecutorSetup,
@@ -230,8 +239,8 @@
     /// The last heartbeat that an earlier incarnation of this process received. It is used if the worker
     /// confirms that it is still in the incarnation that the heartbeat names.
     saved_heartbeat: Option<WorkerHeartbeat>,
-    /// Whether a hold was sent and not answered yet.
-    hold_pending: bool,
+    /// The newest hold, while it is not answered.
+    pending_hold: Option<PendingHold>,
     /// The number of holds sent.
     holds_sent: u64,
     /// When the next hold is due.
@@ -277,7 +286,7 @@
             verified_idle: false,
             probing: None,
             saved_heartbeat: None,
-            hold_pending: false,
+            pending_hold: None,
             holds_sent: 0,
             next_hold: Mono::default(),
             leaving: false,
@@ -417,14 +426,14 @@
     /// runs.
     fn send_due_hold(&mut self, now: Mono) {
         let unverified = self.worker.is_some() && self.incarnations.has_new_candidate();
-        if self.hold_pending || (now < self.next_hold && !unverified) {
+        if self.is_hold_awaited() || (now < self.next_hold && !unverified) {
             return;
         }
         let Some(worker) = &self.worker else {
-            return self.probe();
+            return self.probe(now);
         };
         if let Some(id) = self.incarnations.candidate_id() {
-            return self.request_lists(id);
+            return self.request_lists(now, id);
         }
         let (incarnation, seen) = (worker.heartbeat.incarnation.id.clone(), worker.last_end);
         let (deadline_ms, wait) = if worker.reconciled && worker.responsive {
@@ -435,13 +444,32 @@
         } else {
             (0, Duration::ZERO)
         };
-        self.send_hold(HoldCall {
+        let call = HoldCall {
+            number: 0,
             incarnation,
             deadline_ms,
             fence: self.fence,
             seen,
             wait,
-        });
+        };
+        self.send_hold(now, call);
+    }
+
+    /// Returns whether the next hold waits for the reply to the pending one. It does not wait for a hold that
+    /// was sent while the worker was idle once something is expected of the worker: the next hold takes its
+    /// place at once, and its reply is ignored.
+    fn is_hold_awaited(&self) -> bool {
+        let pending = self.pending_hold;
+        pending.is_some_and(|hold| !hold.idle || self.is_worker_idle())
+    }
+
+    /// Returns whether nothing is expected of the worker: it answers, its incarnation is certain, and it has
+    /// no run or queued task.
+    fn is_worker_idle(&self) -> bool {
+        let answers = |w: &Worker| w.reconciled && w.responsive && w.silent_since.is_none();
+        let certain = self.incarnations.candidate_id().is_none() && self.unknown_since.is_none();
+        let empty = self.runs.is_empty() && self.queue.is_empty();
+        certain && empty && self.worker.as_ref().is_some_and(answers)
     }
 
     /// Returns how long the worker may delay its answer. After a confirmed stop it answers at once: the next
@@ -451,13 +479,17 @@
         if self.runs.values().any(awaited) {
             return Duration::ZERO;
         }
-        self.setup.policy.orders.hold_wait
+        let orders = self.setup.policy.orders;
+        match self.is_worker_idle() {
+            true => orders.idle_wait.max(orders.hold_wait),
+            false => orders.hold_wait,
+        }
     }
 
     /// Requests the lists of a worker that has not sent a heartbeat yet, so that claims need not wait for the
     /// first one. The fencing token prevents delayed orders of an earlier executor from starting anything
     /// afterwards.
-    fn probe(&mut self) {
+    fn probe(&mut self, now: Mono) {
         if self.verified_idle && self.saved_heartbeat.is_none() {
             return;
         }
@@ -466,25 +498,30 @@
             .as_ref()
             .map(|heartbeat| heartbeat.incarnation.id.clone());
         let id = id.unwrap_or_default();
-        self.request_lists(id);
+        self.request_lists(now, id);
     }
 
     /// Requests the lists under an incarnation id that the worker may not have.
-    fn request_lists(&mut self, incarnation: String) {
+    fn request_lists(&mut self, now: Mono, incarnation: String) {
         self.probing = Some(incarnation.clone());
-        self.send_hold(HoldCall {
+        let call = HoldCall {
+            number: 0,
             incarnation,
             deadline_ms: 0,
             fence: self.fence,
             seen: 0,
             wait: Duration::ZERO,
-        });
+        };
+        self.send_hold(now, call);
     }
 
-    fn send_hold(&mut self, call: HoldCall) {
-        self.hold_pending = true;
+    /// Sends a hold under the next number.
+    fn send_hold(&mut self, now: Mono, call: HoldCall) {
+        let idle = call.wait > self.setup.policy.orders.hold_wait;
+        self.pending_hold = Some(PendingHold { sent: now, idle });
         self.holds_sent += 1;
-        self.actions.push(Action::Hold(call));
+        let number = self.holds_sent;
+        self.actions.push(Action::Hold(HoldCall { number, ..call }));
     }
 
     fn log(&mut self, kind: Kind, detail: String) {
--- a/lib/src/dispatch/executor/hold_replies.rs
+++ b/lib/src/dispatch/executor/hold_replies.rs
@@ -29,9 +29,14 @@
 const MAX_CLOCK_MS: u64 = 1 << 53;
 
 impl Executor {
-    /// Handles the reply to a hold.
-    pub fn handle_hold_reply(&mut self, now: Mono, mut reply: HoldReply) {
-        self.hold_pending = false;
+    /// Handles the reply to the hold with this number. A reply to an earlier hold than the newest is ignored:
+    /// its lists may be older than what is known since.
+    pub fn handle_hold_reply(&mut self, now: Mono, number: u64, mut reply: HoldReply) {
+        if number != self.holds_sent {
+            return;
+        }
+        self.note_missing_answer(now, &reply);
+        self.pending_hold = None;
         self.next_hold = now;
         let probing = self.probing.take();
         if probing.as_ref().is_some_and(|id| self.is_candidate(id)) {
@@ -144,6 +149,20 @@
         self.confirm_claims(now);
     }
 
+    /// Notes since when the worker is silent if it left a long hold without an answer: since a short one, sent
+    /// at the same time, would have shown it.
+    fn note_missing_answer(&mut self, now: Mono, reply: &HoldReply) {
+        let long = self.pending_hold.filter(|hold| hold.idle);
+        let (Some(hold), HoldReply::NoAnswer) = (long, reply) else {
+            return;
+        };
+        let orders = self.setup.policy.orders;
+        let since = now.min(hold.sent + orders.hold_wait + orders.hold_extra);
+        if let Some(worker) = &mut self.worker {
+            worker.silent_since.get_or_insert(since);
+        }
+    }
+
     /// Handles a hold that the current incarnation did not answer. The worker becomes silent after a while,
     /// or at once if it refused the hold: nobody listens at its address, or another incarnation answered. The
     /// runs are discarded when it is gone or their keepalive has expired.
--- a/lib/src/dispatch/executor/worker_api.rs
+++ b/lib/src/dispatch/executor/worker_api.rs
@@ -99,6 +99,8 @@
 /// A hold: a request to keep the runs alive and to list them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldCall {
+    /// The number of the hold, by which its reply is recognised here. The worker does not see it.
+    pub number: u64,
     /// The id of the worker's incarnation that it is addressed to; empty if unknown.
     pub incarnation: String,
     /// The time on the worker's clock until which runs are kept alive, in milliseconds; 0 to list only.
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod crashes;
 mod evacuation;
+mod idle;
 mod incarnations;
 mod leases;
 mod odd_numbers;
@@ -29,6 +30,7 @@
 use stackcourse_lib::dispatch::executor::Executor;
 use stackcourse_lib::dispatch::executor::ExecutorSetup;
 use stackcourse_lib::dispatch::executor::FinishedRow;
+use stackcourse_lib::dispatch::executor::HoldCall;
 use stackcourse_lib::dispatch::executor::HoldReply;
 use stackcourse_lib::dispatch::executor::OrderReply;
 use stackcourse_lib::dispatch::executor::RunEnd;
@@ -56,6 +58,8 @@
     executor: Executor,
     now: Mono,
     actions: Vec<Action>,
+    /// The newest hold.
+    last_hold: Option<HoldCall>,
 }
 
 impl Bench {
@@ -90,12 +94,17 @@
             executor: Executor::new(setup),
             now: Mono(1),
             actions: Vec::new(),
+            last_hold: None,
         }
     }
 
     fn collect_actions(&mut self) {
-        let actions = self.executor.take_actions();
-        self.actions.extend(actions);
+        for action in self.executor.take_actions() {
+            if let Action::Hold(call) = &action {
+                self.last_hold = Some(call.clone());
+            }
+            self.actions.push(action);
+        }
     }
 
     fn send_heartbeat(&mut self, id: &str, draining: bool, sequence: u64) {
@@ -121,21 +130,34 @@
     }
 
     fn report_lists_at(&mut self, percent: u32, running: &[RunName], finished: Vec<FinishedRow>) {
+        let reply = self.lists(percent, running, finished);
+        self.handle_hold_reply(reply);
+    }
+
+    fn lists(&self, percent: u32, running: &[RunName], finished: Vec<FinishedRow>) -> HoldReply {
         let row = |run: &RunName| RunningRow { run: *run, percent };
-        let reply = HoldReply::Lists {
+        HoldReply::Lists {
             born: None,
             clock_ms: 1000 + self.now.0 / 1000,
             running: running.iter().map(row).collect(),
             finished,
-        };
-        self.handle_hold_reply(reply);
+        }
     }
 
     fn handle_hold_reply(&mut self, reply: HoldReply) {
-        self.executor.handle_hold_reply(self.now, reply);
+        self.reply_to(self.last_number(), reply);
+    }
+
+    /// Answers the hold with this number, which need not be the newest.
+    fn reply_to(&mut self, number: u64, reply: HoldReply) {
+        self.executor.handle_hold_reply(self.now, number, reply);
         self.collect_actions();
     }
 
+    fn last_number(&self) -> u64 {
+        self.last_hold.as_ref().map_or(0, |call| call.number)
+    }
+
     fn link_up(&mut self, link: LinkId, name: &str) {
         let greeting = proto::Greeting {
             name: name.to_owned(),
--- a/lib/tests/runner/test_executor/incarnations.rs
+++ b/lib/tests/runner/test_executor/incarnations.rs
@@ -7,8 +7,9 @@
     /// Starts another incarnation of the worker: it sends a heartbeat, and answers holds under its id. The
     /// pending hold still names the earlier incarnation.
     pub(super) fn start_incarnation(&mut self, id: &str) {
+        let pending = self.last_number();
         self.send_heartbeat(id, false, 1);
-        self.handle_hold_reply(HoldReply::WrongLife);
+        self.reply_to(pending, HoldReply::WrongLife);
         self.report_lists(&[], Vec::new());
     }
 
@@ -91,8 +92,9 @@
 #[test]
 fn test_executor_unconfirmed_incarnation_retries() {
     let mut bench = Bench::ready();
+    let (pending, lists) = (bench.last_number(), bench.lists(0, &[], Vec::new()));
     bench.send_heartbeat("w2", false, 1);
-    bench.report_lists(&[], Vec::new());
+    bench.reply_to(pending, lists);
     for _ in 0..2 {
         bench.handle_hold_reply(HoldReply::NoAnswer);
         bench.advance(25);
@@ -104,8 +106,9 @@
         "w2",
         "the third request was answered"
     );
+    let (pending, lists) = (bench.last_number(), bench.lists(0, &[], Vec::new()));
     bench.send_heartbeat("w3", false, 1);
-    bench.report_lists(&[], Vec::new());
+    bench.reply_to(pending, lists);
     for _ in 0..3 {
         bench.handle_hold_reply(HoldReply::NoAnswer);
         bench.advance(25);
--- a/lib/testutils/src/dispatch/world.rs
+++ b/lib/testutils/src/dispatch/world.rs
@@ -94,7 +94,7 @@
     Hold(usize, u64, HoldCall, u64),
     StartReply(usize, u64, RunName, OrderReply),
     StopReply(usize, u64, RunName, OrderReply),
-    HoldReply(usize, u64, HoldReply),
+    HoldReply(usize, u64, u64, HoldReply),
     Resubmit(JobNumber),
     /// A scheduler that was frozen reads a request.
     Request(usize, u64, Request),
@@ -382,8 +382,10 @@
                     e.handle_stop_reply(now, run, reply)
                 });
             }
-            Event::HoldReply(n, incarnation, reply) => {
-                self.with_executor(n, incarnation, |e, now| e.handle_hold_reply(now, reply))
+            Event::HoldReply(n, incarnation, number, reply) => {
+                self.with_executor(n, incarnation, |e, now| {
+                    e.handle_hold_reply(now, number, reply)
+                });
             }
             Event::Resubmit(number) => self.resubmit(number),
             Event::Request(n, incarnation, request) => {
--- a/lib/testutils/src/dispatch/world/actions.rs
+++ b/lib/testutils/src/dispatch/world/actions.rs
@@ -70,7 +70,8 @@
                 executor::Action::Hold(call) => {
                     let wait = call.wait.as_micros() as u64;
                     if self.rng.random_bool(self.late_share_of(n)) {
-                        let unanswered = Event::HoldReply(n, incarnation, HoldReply::NoAnswer);
+                        let reply = HoldReply::NoAnswer;
+                        let unanswered = Event::HoldReply(n, incarnation, call.number, reply);
                         self.schedule(wait + HOLD_GRACE_US, unanswered);
                     } else {
                         let until = self.now + wait;
--- a/lib/testutils/src/dispatch/world/workers.rs
+++ b/lib/testutils/src/dispatch/world/workers.rs
@@ -154,7 +154,7 @@
         if !self.workers[n].up {
             return self.schedule(
                 1000,
-                Event::HoldReply(n, incarnation, HoldReply::Unreachable),
+                Event::HoldReply(n, incarnation, call.number, HoldReply::Unreachable),
             );
         }
         let now = self.now;
@@ -169,7 +169,7 @@
         } else {
             (self.rng.random_range(100..800), first)
         };
-        self.schedule(wait, Event::HoldReply(n, incarnation, reply));
+        self.schedule(wait, Event::HoldReply(n, incarnation, call.number, reply));
     }
 
     pub(super) fn send_heartbeat(&mut self, number: usize) {
--- a/lib/testutils/src/platform/workers.rs
+++ b/lib/testutils/src/platform/workers.rs
@@ -449,6 +449,7 @@
     body: web::Json<Value>,
 ) -> HttpResponse {
     let call = HoldCall {
+        number: 0,
         incarnation: expected_id(&request, &handle),
         deadline_ms: body["deadlineMs"].as_u64().unwrap_or(0),
         fence: body["fencingToken"].as_u64().unwrap_or(0),
