links: a frame is written where it is sent

Cause: each link has a task that writes its frames. A heartbeat thus costs, beside the write, an entry in a queue, a wake-up and a poll of that task, and a lock between both halves of the connection; nearly every frame is the only one of its link at the time. The loop that reads registers a new wait for the end of the link with each frame.

A frame is now written at once as long as the connection takes it (`dispatch/frame_writer.rs`), and queued behind the others if not; the loop that reads also writes the queue, and waits for the end of the link only once. Nothing changes on the wire, in the number or the time of frames, or in what happens to the queue of a link that is closed.

Tests: a frame that is sent is not left in the queue (red before: one frame of 2 bytes waits), and 200 frames of 100 kB through a full connection arrive whole and in order (green before and after: it holds what must not be lost).

--- a/lib/daemon/src/dispatch.rs
+++ b/lib/daemon/src/dispatch.rs
@@ -14,6 +14,7 @@
 pub mod executor_host;
 pub mod follow;
 pub mod forwarder_host;
+mod frame_writer;
 pub mod http;
 pub mod lag;
 pub mod links;
--- a/lib/daemon/src/dispatch/channel.rs
+++ b/lib/daemon/src/dispatch/channel.rs
@@ -4,6 +4,7 @@
 //! told of each message and of the end of the link.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,13 +22,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio_util::codec::Framed;
+use tokio_util::codec::FramedParts;
 use tokio_util::codec::LengthDelimitedCodec;
-use tokio_util::sync::CancellationToken;
-use tokio_util::sync::DropGuard;
 
-use crate::dispatch::traffic::Outgoing;
+use crate::dispatch::frame_writer::FrameWriter;
 use crate::dispatch::traffic::Traffic;
 
 /// The size limit of a frame, in bytes.
@@ -99,22 +99,28 @@
 /// that time.
 #[derive(Debug)]
 pub struct ChannelSender {
-    queue: mpsc::UnboundedSender<Outgoing>,
+    writer: Rc<FrameWriter>,
     traffic: Rc<Traffic>,
-    _close_guard: DropGuard,
 }
 
 impl ChannelSender {
-    /// Queues a message. Drops it if the link is down, which the handler learns from [`LinkHandler::down`].
+    /// Sends a message, or queues it while the connection takes no more. Drops it if the link is down, which
+    /// the handler learns from [`LinkHandler::down`].
     pub fn send(&self, body: Body) {
         let frame = proto::Frame { body: Some(body) };
         let bytes = Bytes::from(frame.encode_to_vec());
         if let Some(body) = &frame.body {
-            let _ = self.queue.send(self.traffic.enqueue(body, bytes));
+            self.writer.send(self.traffic.enqueue(body, bytes));
         }
     }
 }
 
+impl Drop for ChannelSender {
+    fn drop(&mut self) {
+        self.writer.close();
+    }
+}
+
 /// Handles the events of links and decides which links are wanted.
 pub trait LinkHandler: 'static {
     /// Returns the settings for links.
@@ -256,21 +262,19 @@
 async fn run_link(wire: Wire, theirs: proto::Greeting, handler: &impl LinkHandler) {
     let link = LinkId(NEXT_LINK.fetch_add(1, Ordering::Relaxed));
     let traffic = handler.traffic();
-    let (sink, mut stream) = wire.split();
-    let (queue, receiver) = mpsc::unbounded_channel();
-    let mut writer = actix_rt::spawn(write_frames(sink, receiver));
-    let closed = CancellationToken::new();
+    let (mut stream, writer) = split(wire);
+    let writer = Rc::new(writer);
     let sender = ChannelSender {
-        queue,
+        writer: writer.clone(),
         traffic: traffic.clone(),
-        _close_guard: closed.clone().drop_guard(),
     };
     handler.up(link, &theirs, sender);
+    let mut writing = pin!(writer.run());
     let end = loop {
         let next = tokio::select! {
+            biased;
+            end = &mut writing => break end,
             next = stream.next() => next,
-            written = &mut writer => break written.unwrap_or(LinkEnd::ClosedLocally),
-            () = closed.cancelled() => break LinkEnd::ClosedLocally,
         };
         let bytes = match next {
             Some(Ok(bytes)) => bytes,
@@ -288,31 +292,15 @@
             Err(e) => break LinkEnd::Unreadable(e),
         }
     };
-    writer.abort();
+    writer.close();
     handler.down(link, &theirs, end);
 }
 
-type WireSink = futures::stream::SplitSink<Wire, Bytes>;
-
-/// Writes queued frames and flushes whenever the queue is empty. Returns when the sender is dropped or
-/// writing fails.
-async fn write_frames(mut sink: WireSink, mut queue: mpsc::UnboundedReceiver<Outgoing>) -> LinkEnd {
-    while let Some(first) = queue.recv().await {
-        if let Err(e) = write_queued(&mut sink, first, &mut queue).await {
-            return LinkEnd::Broken(e);
-        }
-    }
-    LinkEnd::ClosedLocally
-}
-
-async fn write_queued(
-    sink: &mut WireSink,
-    first: Outgoing,
-    queue: &mut mpsc::UnboundedReceiver<Outgoing>,
-) -> std::io::Result<()> {
-    sink.feed(first.bytes()).await?;
-    while let Ok(more) = queue.try_recv() {
-        sink.feed(more.bytes()).await?;
-    }
-    sink.flush().await
+/// Splits a connection into the stream of incoming frames, with what has been read already, and the writer.
+fn split(wire: Wire) -> (Framed<OwnedReadHalf, LengthDelimitedCodec>, FrameWriter) {
+    let parts = wire.into_parts();
+    let (reader, writer) = parts.io.into_split();
+    let mut reading = FramedParts::new::<Bytes>(reader, parts.codec);
+    reading.read_buf = parts.read_buf;
+    (Framed::from_parts(reading), FrameWriter::new(writer))
 }
--- a/lib/daemon/src/dispatch/traffic.rs
+++ b/lib/daemon/src/dispatch/traffic.rs
@@ -114,8 +114,8 @@
 
 impl Outgoing {
     /// Returns the encoded frame.
-    pub fn bytes(&self) -> Bytes {
-        self.bytes.clone()
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
     }
 }
 
--- a/lib/daemon/tests/runner/test_channel.rs
+++ b/lib/daemon/tests/runner/test_channel.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::SinkExt;
+use futures::StreamExt;
 use prost::Message;
 use stackcourse_daemon::dispatch::channel;
 use stackcourse_daemon::dispatch::channel::ChannelSender;
@@ -133,3 +134,65 @@
     let dialled = links::addresses(&members);
     assert_eq!(dialled, ["10.0.0.2:7720".parse().expect("an address")]);
 }
+
+/// Sets up a link to a process that has greeted, and returns its sender and the other end.
+async fn open_link() -> (Rc<TestHandler>, Framed<TcpStream, LengthDelimitedCodec>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("a bound address");
+    let handler = Rc::new(TestHandler::default());
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let link_handler = handler.clone();
+    actix_rt::spawn(async move { channel::serve(stream, &*link_handler, || {}).await });
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let mut wire = Framed::new(stream, LengthDelimitedCodec::new());
+    let frame = proto::Frame {
+        body: Some(Body::Greeting(proto::Greeting::default())),
+    };
+    let sent = wire.send(Bytes::from(frame.encode_to_vec())).await;
+    sent.expect("the greeting is sent");
+    let greeting = wire.next().await.expect("a frame");
+    greeting.expect("a greeting");
+    while handler.sender.borrow().is_none() {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    (handler, wire)
+}
+
+/// Guards against a task to wake and run for each frame, which cost more than writing it.
+#[actix_rt::test]
+async fn test_channel_frame_written_at_once() {
+    let (handler, _wire) = open_link().await;
+    let sender = handler.sender.borrow();
+    let sender = sender.as_ref().expect("the link is up");
+    sender.send(Body::Peer(proto::PeerUpdate::default()));
+    assert_eq!(handler.traffic.waiting(), [0, 0], "nothing is left to do");
+}
+
+/// Guards against frames that are cut or overtaken when the connection takes only a part of them.
+#[actix_rt::test]
+async fn test_channel_full_connection_keeps_order() {
+    const FRAMES: u64 = 200;
+    let (handler, mut wire) = open_link().await;
+    wire.codec_mut().set_max_frame_length(1 << 20);
+    for version in 0..FRAMES {
+        let update = proto::PeerUpdate {
+            catalog_version: version,
+            catalog: vec![7; 100_000 + version as usize].into(),
+            ..proto::PeerUpdate::default()
+        };
+        let sender = handler.sender.borrow();
+        let sender = sender.as_ref().expect("the link is up");
+        sender.send(Body::Peer(update));
+    }
+    assert!(handler.traffic.waiting()[0] > 0, "the connection is full");
+    for version in 0..FRAMES {
+        let frame = wire.next().await.expect("a frame").expect("a whole frame");
+        let frame = proto::Frame::decode(frame).expect("a readable frame");
+        let Some(Body::Peer(update)) = frame.body else {
+            panic!("not an update");
+        };
+        assert_eq!(update.catalog_version, version);
+        assert_eq!(update.catalog.len(), 100_000 + version as usize);
+    }
+    assert_eq!(handler.traffic.waiting(), [0, 0]);
+}
