clients: end callers' connections in order when an entry leaves

A connection from before stayed open until the process ended. A caller could send a request on it at any moment of the last 0.2 s, or have sent it in part, and saw the connection end without an answer; and callers whose connection was unused stayed with an entry that could serve them least.

Cause: only the listener ended at `leaving.still_open`. Connections closed after their next answer, and had no end of their own.

The set of connections decides now which ones wait for a request, and the sockets of these are ended in order from `still_open` on, after a look into the kernel's buffer, since the runtime may not have noticed bytes yet. After the last answers, what has come only in part is refused with 503 (cause `leaving`), nothing is read any more, and the process ends when the answers are written, 100 ms later at most. The listener ends by then also where the grace is shorter than `still_open`.

--- a/cli/tests/runner/main.rs
+++ b/cli/tests/runner/main.rs
@@ -6,4 +6,5 @@
 mod test_dev_command;
 mod test_failures;
 mod test_platform;
+mod test_platform_leaving;
 mod test_platform_odd_entries;
--- a/lib/daemon/src/dispatch/client_socket.rs
+++ b/lib/daemon/src/dispatch/client_socket.rs
@@ -5,6 +5,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -57,6 +58,8 @@
     is_read_held: Cell<bool>,
     /// Whether the client takes no more of an answer at present.
     is_write_blocked: Cell<bool>,
+    /// Whether it is closed as soon as nothing of a request has come.
+    is_ending: Cell<bool>,
     /// Whether this end has been shut down in order.
     is_shut: Cell<bool>,
     is_disconnected: Cell<bool>,
@@ -87,6 +90,7 @@
             is_step_done: Cell::default(),
             is_read_held: Cell::default(),
             is_write_blocked: Cell::default(),
+            is_ending: Cell::default(),
             is_shut: Cell::default(),
             is_disconnected: Cell::default(),
             disconnect: Notify::new(),
@@ -207,6 +211,30 @@
         self.wake();
     }
 
+    /// Ends a connection that waits for a request, unless one has come meanwhile.
+    pub(super) fn end_unused(&self) {
+        self.is_ending.set(true);
+        self.wake();
+    }
+
+    /// Refuses a request of which only a part has come.
+    pub(super) fn refuse_unfinished(&self) {
+        let cause = self.clients.with(|c, _| c.refuse(self.id, Cause::Leaving));
+        match self.clients.read(|c| c.is_receiving_body(self.id)) {
+            // The reader of the body answers.
+            true => _ = self.refuse(cause),
+            false => self.refuse_head(cause),
+        }
+        self.wake();
+    }
+
+    /// Returns whether the connection ends now: it is to be closed, and nothing of a request has come.
+    fn ends_unused(&self, stream: &TcpStream) -> bool {
+        self.is_ending.get()
+            && self.clients.read(|c| c.awaits_request(self.id))
+            && !has_unread(stream)
+    }
+
     /// Gives a refused client the time to receive its answer, then closes the connection.
     pub async fn end(&self) {
         let in_order = self.is_shut.get() || self.is_disconnected.get();
@@ -297,7 +325,10 @@
     ) -> Poll<io::Result<()>> {
         let capacity = buf.remaining();
         let polled = match &mut *self.stream.borrow_mut() {
-            Some(stream) => poll_read_most(stream, cx, buf, most),
+            Some(stream) => match poll_read_most(stream, cx, buf, most) {
+                Poll::Pending if self.ends_unused(stream) => return Poll::Ready(Ok(())),
+                polled => polled,
+            },
             None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
         };
         match polled {
@@ -406,6 +437,16 @@
     polled.map_ok(|()| read)
 }
 
+/// Returns whether the kernel holds bytes that were not read. The runtime may not have noticed them yet.
+fn has_unread(stream: &TcpStream) -> bool {
+    let Ok(descriptor) = stream.as_fd().try_clone_to_owned() else {
+        return false;
+    };
+    let same = std::net::TcpStream::from(descriptor);
+    let mut bytes = [0; 1];
+    same.peek(&mut bytes).is_ok_and(|n| n > 0)
+}
+
 /// Writes a refusal as far as the socket takes it at once. It does on a connection without an answer under way.
 pub(super) fn write_refusal(stream: &TcpStream, cause: Cause) {
     if let Some(head) = refusal_head(cause) {
--- a/lib/daemon/src/dispatch/clients.rs
+++ b/lib/daemon/src/dispatch/clients.rs
@@ -147,6 +147,31 @@
         });
     }
 
+    /// Closes the connections of a port that wait for a request, after a last look whether one has come.
+    pub fn close_unused(&self, port: Port) {
+        let unused = self.with(|c, now| c.unused(now, port));
+        for socket in self.sockets(unused) {
+            socket.end_unused();
+        }
+    }
+
+    /// Refuses the requests of a port of which only a part has come.
+    pub fn refuse_unfinished(&self, port: Port) {
+        let unfinished = self.read(|c| c.unfinished(port));
+        for socket in self.sockets(unfinished) {
+            socket.refuse_unfinished();
+        }
+    }
+
+    fn sockets(&self, ids: Vec<ConnectionId>) -> Vec<Rc<ClientSocket>> {
+        let holders = self.inner.holders.borrow();
+        let sockets = ids.into_iter().filter_map(|id| match holders.get(id) {
+            Some(Holder::Socket(socket)) => Some(socket.clone()),
+            Some(Holder::Link(_)) | None => None,
+        });
+        sockets.collect()
+    }
+
     /// Admits a connection for a link, as soon as there is room for it.
     pub async fn admit_link(&self, peer: SocketAddr) -> LinkAdmission {
         loop {
@@ -201,7 +226,9 @@
 /// Returns the status line and headers with which a client is refused, for the causes that have an answer.
 pub fn refusal_head(cause: Cause) -> Option<&'static str> {
     match cause {
-        Cause::Memory | Cause::Connections => Some("503 Service Unavailable\r\nRetry-After: 1"),
+        Cause::Memory | Cause::Connections | Cause::Leaving => {
+            Some("503 Service Unavailable\r\nRetry-After: 1")
+        }
         Cause::HeadSize => Some("431 Request Header Fields Too Large"),
         Cause::BodySize => Some("413 Payload Too Large"),
         Cause::BodyOverhead => Some("400 Bad Request"),
--- a/lib/daemon/src/dispatch/http.rs
+++ b/lib/daemon/src/dispatch/http.rs
@@ -231,7 +231,7 @@
 /// Returns the response to a request that is refused because of its client.
 fn refusal(cause: Cause) -> Response<BoxBody> {
     let status = match cause {
-        Cause::Memory | Cause::Connections => StatusCode::SERVICE_UNAVAILABLE,
+        Cause::Memory | Cause::Connections | Cause::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         Cause::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
         _ => StatusCode::BAD_REQUEST,
     };
--- a/lib/src/dispatch/connections.rs
+++ b/lib/src/dispatch/connections.rs
@@ -12,6 +12,7 @@
 
 mod causes;
 mod connection;
+mod leaving;
 mod limits;
 
 use std::net::SocketAddr;
--- a/lib/src/dispatch/connections/causes.rs
+++ b/lib/src/dispatch/connections/causes.rs
@@ -30,6 +30,8 @@
     AnswerTime,
     /// No request came for long.
     Idle,
+    /// The process leaves.
+    Leaving,
 }
 
 impl Cause {
@@ -45,6 +47,7 @@
             Cause::BodyTime => "body-time",
             Cause::AnswerTime => "answer-time",
             Cause::Idle => "idle",
+            Cause::Leaving => "leaving",
         }
     }
 }
--- a/lib/src/dispatch/connections/connection.rs
+++ b/lib/src/dispatch/connections/connection.rs
@@ -109,6 +109,15 @@
         (self.phase != Phase::Serving && stall >= STALL).then_some(stall)
     }
 
+    /// Returns whether it waits for a request of which nothing has come.
+    pub fn awaits_request(&self) -> bool {
+        match self.phase {
+            Phase::Idle => true,
+            Phase::Head => self.wire == 0,
+            Phase::Body | Phase::Serving | Phase::Answering | Phase::Closing => false,
+        }
+    }
+
     /// Returns whether a request has come in part.
     pub fn in_request(&self) -> bool {
         match self.phase {
--- a/lib/src/dispatch/connections/tests.rs
+++ b/lib/src/dispatch/connections/tests.rs
@@ -418,3 +418,31 @@
     assert!(c.flushed(at_ms(30), id));
     assert_eq!(c.gauges()[2], CONNECTION_BYTES);
 }
+
+/// Guards against callers that stay with a process until it ends: connections that wait for a request are closed before,
+/// and no others.
+#[test]
+fn test_connections_unused() {
+    let mut c = Connections::new(budget());
+    let [silent, partial, new] = [at_ms(0), at_ms(0), at_ms(900)]
+        .map(|now| c.open(now, Port::Main, peer()).expect("there is room"));
+    let other_port = c.open(at_ms(0), Port::Metrics, peer());
+    let other_port = other_port.expect("there is room");
+    c.received(at_ms(10), partial, 20).expect("there is room");
+    let body = begin(&mut c, at_ms(0), BodyKind::Sized(10)).expect("a request");
+    let served = begin(&mut c, at_ms(0), BodyKind::None).expect("a request");
+    let idle = begin(&mut c, at_ms(0), BodyKind::None).expect("a request");
+    c.answer(at_ms(20), idle, 10).expect("there is room");
+    assert!(c.flushed(at_ms(20), idle));
+    let unused = c.unused(at_ms(1000), Port::Main);
+    assert_eq!(unused, [silent, idle], "not one that was opened just now");
+    assert_eq!(c.unused(at_ms(1100), Port::Main), [silent, new, idle]);
+    assert_eq!(c.unused(at_ms(1000), Port::Metrics), [other_port]);
+    assert_eq!(c.unfinished(Port::Main), [partial, body]);
+    assert!(c.is_busy(Port::Main) && !c.is_busy(Port::Metrics));
+    for id in [partial, body, served] {
+        assert!(!c.awaits_request(id));
+        c.close(id);
+    }
+    assert!(!c.is_busy(Port::Main));
+}
--- a/lib/testutils/src/platform/callers.rs
+++ b/lib/testutils/src/platform/callers.rs
@@ -106,6 +106,43 @@
     }
 }
 
+/// Notes that a job is about to be submitted.
+///
+/// # Panics
+///
+/// Panics if another thread panicked while it held the lock on the workers.
+pub fn record_submission(workers: &SharedWorkers, job: CallerJob) {
+    let mut workers = workers.lock().unwrap();
+    let seen = workers
+        .witness
+        .jobs
+        .entry(job.number)
+        .or_insert(JobHistory {
+            tasks: job.tasks,
+            cpu: job.cpu,
+            ..JobHistory::default()
+        });
+    seen.submissions += 1;
+}
+
+/// Checks the response to a submitted job against what the workers ran: its status, and a text that holds the state.
+///
+/// # Panics
+///
+/// Panics if another thread panicked while it held the lock on the workers.
+pub fn check_answer(workers: &SharedWorkers, number: JobNumber, status: u16, text: &str) {
+    let mut workers = workers.lock().unwrap();
+    workers.advance();
+    let outcome = match status {
+        200 if text.contains("completed") => JobOutcome::Completed,
+        200 if text.contains("cancelled") => JobOutcome::Cancelled,
+        200 if text.contains("failed") => JobOutcome::Failed,
+        503 => JobOutcome::Refused(0),
+        _ => return,
+    };
+    workers.witness.check_answer(number, outcome);
+}
+
 /// Submits a job at an entry and checks the response against what the workers ran.
 ///
 /// # Panics
@@ -116,36 +153,10 @@
     entry: SocketAddr,
     job: CallerJob,
 ) -> CallerResponse {
-    {
-        let mut workers = workers.lock().unwrap();
-        let seen = workers
-            .witness
-            .jobs
-            .entry(job.number)
-            .or_insert(JobHistory {
-                tasks: job.tasks,
-                cpu: job.cpu,
-                ..JobHistory::default()
-            });
-        seen.submissions += 1;
-    }
+    record_submission(workers, job);
     let path = format!("{PREFIX}{}", job.number);
     let response = send_request(entry, "POST", &path, Some(job.body())).await;
-    let mut workers = workers.lock().unwrap();
-    workers.advance();
-    match (response.status, response.state.as_str()) {
-        (200, "completed") => workers
-            .witness
-            .check_answer(job.number, JobOutcome::Completed),
-        (200, "cancelled") => workers
-            .witness
-            .check_answer(job.number, JobOutcome::Cancelled),
-        (200, "failed") => workers.witness.check_answer(job.number, JobOutcome::Failed),
-        (503, _) => workers
-            .witness
-            .check_answer(job.number, JobOutcome::Refused(0)),
-        _ => {}
-    }
+    check_answer(workers, job.number, response.status, &response.state);
     response
 }
 
