scheduler: refuse a job that no peer could end before the process does

Of the jobs that came in the last half second of a leaving entry most of the long ones got a 504, though nothing of them had run and another entry would have served them at once.

Cause: each job that would outlast the process was handed off, whether or not its caller could be answered through the handoff. At the end the outcome is unknown, which is all that may be said once a peer has the job.

The scheduler hands a job off only if its expected time, without the margin that it asks for at its own place, and one heartbeat are left. Any other is refused when it comes, with a time to come back; that is true, as nothing of it ran.

`test_handoff_job_without_time` is red before (no answer to the caller) and green after. The price, in callers that come back after a refusal where a handoff would have gone on for them, is not measured yet.

--- a/lib/src/dispatch/policy/leaving.rs
+++ b/lib/src/dispatch/policy/leaving.rs
@@ -23,7 +23,8 @@
         reserve: ms = 400, 0..=600_000;
         /// How long the process waits for its last answers to be sent.
         last_answers: ms = 120, 0..=600_000;
-        /// Whether a job that would outlast the process is handed off to another scheduler, which runs it.
+        /// Whether a job that would outlast the process is handed off to another scheduler, which runs it. A job
+        /// that could not end there in time either is refused.
         hand_on: switch = true, ();
         /// A job that arrives during the shutdown is run here if this many times its expected time is left.
         /// One that takes longer than that is given up with an answer.
--- a/lib/src/dispatch/scheduler/handoff.rs
+++ b/lib/src/dispatch/scheduler/handoff.rs
@@ -5,7 +5,8 @@
 //!
 //! The job is handed off to a peer that accepts jobs, and followed there like one that was submitted again.
 //! If it ends in time, this scheduler answers its caller; if not, the caller is told to retry, and finds the
-//! job at the peer. Without such a peer the job is refused, as nothing of it was started.
+//! job at the peer. Without such a peer, or if the peer could not end it before this process does, the job is
+//! refused, as nothing of it was started.
 
 use std::rc::Rc;
 
--- a/lib/src/dispatch/scheduler/leaving.rs
+++ b/lib/src/dispatch/scheduler/leaving.rs
@@ -50,9 +50,20 @@
 
     /// Returns whether a job is expected to outlast this process.
     pub(super) fn outlasts_process(&self, job: &Job) -> bool {
+        self.is_over_before(job, self.setup.policy.leaving.room_to_end)
+    }
+
+    /// Returns whether a job that outlasts this process may be handed off: the peer, which has time to spare, is
+    /// expected to end it while its caller can be answered here. The caller of a longer job would be told that its
+    /// outcome is unknown, although nothing of it ran when it came.
+    pub(super) fn can_hand_on(&self, job: &Job) -> bool {
+        self.setup.policy.leaving.hand_on && !self.is_over_before(job, 1.0)
+    }
+
+    /// Returns whether this process ends before so many times the expected time of a job have passed.
+    fn is_over_before(&self, job: &Job, times: f64) -> bool {
         let total = job.critical_path.iter().copied().max().unwrap_or_default();
-        let needed = total.mul_f64(self.setup.policy.leaving.room_to_end)
-            + self.setup.policy.reports.heartbeat;
+        let needed = total.mul_f64(times) + self.setup.policy.reports.heartbeat;
         self.leaving.is_some_and(|at| self.now + needed > at)
     }
 
--- a/lib/src/dispatch/scheduler/submission.rs
+++ b/lib/src/dispatch/scheduler/submission.rs
@@ -22,6 +22,8 @@
 struct Rejection {
     request: JobRequest,
     cause: &'static str,
+    /// Whether a peer could run the job, and its caller be answered here.
+    hands_on: bool,
 }
 
 impl Scheduler {
@@ -107,7 +109,14 @@
 
     /// Creates the job for a request, or returns why it is rejected.
     fn new_job(&mut self, request: JobRequest, claim: bool) -> Result<Job, Rejection> {
-        let rejection = |request, cause| Err(Rejection { request, cause });
+        let rejection = |request, cause| {
+            let hands_on = false;
+            Err(Rejection {
+                request,
+                cause,
+                hands_on,
+            })
+        };
         let queue = self.catalog.index().and_then(|c| c.queue(&request.queue));
         let Some(queue) = queue else {
             return rejection(request, "no-queue");
@@ -119,7 +128,12 @@
             return rejection(job.request, "no-executor");
         }
         if self.is_closed || self.outlasts_process(&job) {
-            return rejection(job.request, LEAVING);
+            let hands_on = self.can_hand_on(&job);
+            return Err(Rejection {
+                request: job.request,
+                cause: LEAVING,
+                hands_on,
+            });
         }
         if !claim && self.would_start_late(&job) {
             self.record_rejection(&job);
@@ -130,13 +144,17 @@
 
     /// Rejects a request. If the job may be running elsewhere, the outcome is `Unknown`, since a refusal
     /// promises that it has not run. A job that would only outlast this process is handed off to a peer, if
-    /// that is on and one accepts jobs.
+    /// its caller can be answered here and a peer accepts jobs.
     fn reject(&mut self, caller: CallerId, rejection: Rejection, claim: bool) {
-        let Rejection { request, cause } = rejection;
+        let Rejection {
+            request,
+            cause,
+            hands_on,
+        } = rejection;
         if claim {
             return self.answer_unknown(caller, &request, cause);
         }
-        let request = if cause == LEAVING && self.setup.policy.leaving.hand_on {
+        let request = if hands_on {
             match self.hand_off(caller, request) {
                 Ok(()) => return,
                 Err(request) => request,
