executor: longer holds at an idle worker are off until their red tests are traced

What causes it is not traced, so callers get no change that may cost innocent jobs: the default is 0, with which holds are as they were. The tests of the long wait set it themselves.

--- a/lib/src/dispatch/policy/orders.rs
+++ b/lib/src/dispatch/policy/orders.rs
@@ -16,9 +16,9 @@
         /// How long the worker may keep a hold open before it answers. If the answer is lost, ended runs go
         /// unnoticed for about twice as long.
         hold_wait: ms = 25, 0..=2000;
-        /// The same while nothing runs at the worker. A start does not wait for it: a shorter hold is sent at
-        /// once.
-        idle_wait: ms = 200, 0..=300;
+        /// The same while nothing runs at the worker, if it is longer; off with 0. A start does not wait for it:
+        /// a shorter hold is sent at once.
+        idle_wait: ms = 0, 0..=300;
         /// An order without an answer for this long counts as unanswered. The worker is on the same box and
         /// answers within a few milliseconds.
         answer: ms = 40, 1..=60_000;
--- a/lib/tests/runner/test_executor.rs
+++ b/lib/tests/runner/test_executor.rs
@@ -66,7 +66,11 @@
     /// Returns an executor with a link to one scheduler and a worker that has sent a heartbeat and runs
     /// nothing.
     fn ready() -> Bench {
-        let mut bench = Bench::new();
+        Bench::ready_with(Policy::default())
+    }
+
+    fn ready_with(policy: Policy) -> Bench {
+        let mut bench = Bench::with_policy(policy);
         bench.send_heartbeat("w1", false, 1);
         bench.report_lists(&[], Vec::new());
         bench.link_up(ONE, "one");
--- a/lib/tests/runner/test_executor/idle.rs
+++ b/lib/tests/runner/test_executor/idle.rs
@@ -5,6 +5,13 @@
 /// The wait of holds while a run is known.
 const SHORT: Duration = Duration::from_millis(25);
 
+/// Returns an executor whose worker runs nothing, with long holds.
+fn idle() -> Bench {
+    let mut policy = Policy::default();
+    policy.orders.idle_wait = Duration::from_millis(200);
+    Bench::ready_with(policy)
+}
+
 impl Bench {
     /// Lets a span pass in which the worker answers each hold after the wait that it names.
     fn answer_holds(&mut self, ms: u64, running: &[RunName]) {
@@ -36,7 +43,7 @@
 /// agents used.
 #[test]
 fn test_executor_idle_holds_are_few() {
-    let mut bench = Bench::ready();
+    let mut bench = idle();
     let before = bench.hold_count();
     bench.answer_holds(1000, &[]);
     let holds = bench.hold_count() - before;
@@ -46,7 +53,7 @@
 /// Guards against a first run whose progress, or the loss of whose answer, is noticed only after the long wait.
 #[test]
 fn test_executor_idle_hold_ends_with_a_start() {
-    let mut bench = Bench::ready();
+    let mut bench = idle();
     bench.answer_holds(100, &[]);
     let before = bench.hold_count();
     bench.order_start(ONE, 1, &[0]);
@@ -60,7 +67,7 @@
 /// Guards against lists that are older than a start: a run that they lack would count as lost.
 #[test]
 fn test_executor_idle_hold_answered_late() {
-    let mut bench = Bench::ready();
+    let mut bench = idle();
     let (old, lists) = (bench.last_number(), bench.lists(0, &[], Vec::new()));
     bench.order_start(ONE, 1, &[0]);
     bench
@@ -75,7 +82,7 @@
 /// Guards against a heartbeat of another incarnation that is not checked before the long wait ends.
 #[test]
 fn test_executor_idle_hold_ends_with_a_candidate() {
-    let mut bench = Bench::ready();
+    let mut bench = idle();
     bench.answer_holds(100, &[]);
     let before = bench.hold_count();
     bench.send_heartbeat("w2", false, 1);
@@ -90,7 +97,7 @@
 /// Guards against a worker that stops answering while it is idle and is noticed later than one with runs.
 #[test]
 fn test_executor_idle_silence() {
-    let mut bench = Bench::ready();
+    let mut bench = idle();
     let extra = Policy::default().orders.hold_extra;
     let answered = bench.now;
     let mut sent = bench.now;
