scheduler: an end or a slow run of an unknown step ends no entry

Cause: the step that a report names was used as an index before it was looked up. An executor's report of a step that its job does not have ended the entry with all callers that wait there.

test_scheduler_executor_unknown_step, red before: "index out of bounds: the len is 1 but the index is 9" (pace.rs), green after. Such a report is passed over; the task it names does not exist, so nothing of it is placed.

--- a/lib/src/dispatch/scheduler/pace.rs
+++ b/lib/src/dispatch/scheduler/pace.rs
@@ -112,8 +112,11 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
+        let Some(path) = job.critical_path.get(name.step as usize) else {
+            return;
+        };
         let end_here = self.now + Duration::from_millis(u64::from(run.remaining_ms));
-        let end_elsewhere = self.now + policy.move_time + job.critical_path[name.step as usize];
+        let end_elsewhere = self.now + policy.move_time + *path;
         let gains = end_here > job.objective_at && end_elsewhere <= job.objective_at;
         let slow = self.executors[key].slow;
         if !policy.move_slow || !slow || !gains || !self.fits_elsewhere(job, key, name.step) {
--- a/lib/src/dispatch/scheduler/task_ends.rs
+++ b/lib/src/dispatch/scheduler/task_ends.rs
@@ -91,7 +91,9 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
-        let step = &job.request.steps[name.step as usize];
+        let Some(step) = job.request.steps.get(name.step as usize) else {
+            return;
+        };
         self.contention.record_run(step.demand.cpu_milli, ran);
         if step.estimate_ms == 0 {
             return;
--- a/lib/tests/runner/test_scheduler/odd_numbers.rs
+++ b/lib/tests/runner/test_scheduler/odd_numbers.rs
@@ -232,3 +232,42 @@
         }
     }
 }
+
+/// Returns a scheduler that has started tasks, with a second peer, and those tasks.
+fn started(policy: Policy) -> (Bench, Vec<(u64, u32, u32)>) {
+    let mut bench = linked(policy);
+    bench.link(OTHER_PEER, "s3", false);
+    go_on(&mut bench, 1);
+    let starts = bench.starts();
+    assert!(starts.len() > 1);
+    (bench, starts)
+}
+
+/// The end or the progress of a task of a step that its job does not have ended the process.
+#[test]
+fn test_scheduler_executor_unknown_step() {
+    let (mut bench, starts) = started(Policy::default());
+    let (job, index, attempt) = starts[0];
+    let mut odd = task(job, index).proto(attempt);
+    odd.step = 9;
+    let slow = proto::SlowRun {
+        task: Some(odd),
+        remaining_ms: 1,
+    };
+    bench.send_update(proto::Update {
+        slow: vec![slow],
+        ..proto::Update::default()
+    });
+    let end = proto::TaskEnd {
+        number: 1_000_000,
+        task: Some(odd),
+        kind: EndKind::Done.code(),
+        ran_us: 1000,
+        ..proto::TaskEnd::default()
+    };
+    bench.send_update(proto::Update {
+        ends: vec![end],
+        ..proto::Update::default()
+    });
+    go_on(&mut bench, 10);
+}
