scheduler: shares of the blame of extreme size end no entry

Found by the review of the change. Cause: shares of one queue are summed until the next update to a peer, without a limit.

test_scheduler_executor_extreme_blames, red before: "attempt to add with overflow" (peers.rs), green after: the sum saturates.

--- a/lib/src/dispatch/scheduler/peers.rs
+++ b/lib/src/dispatch/scheduler/peers.rs
@@ -125,7 +125,7 @@
         }
         let blames = &mut self.outgoing.blames;
         match blames.iter_mut().find(|b| b.queue == queue) {
-            Some(blame) => blame.blame += permille,
+            Some(blame) => blame.blame = blame.blame.saturating_add(permille),
             None => blames.push(proto::QueueBlame {
                 queue: queue.to_owned(),
                 blame: permille,
--- a/lib/tests/runner/test_scheduler/odd_numbers.rs
+++ b/lib/tests/runner/test_scheduler/odd_numbers.rs
@@ -271,3 +271,24 @@
     });
     go_on(&mut bench, 10);
 }
+
+/// The sum of two shares of the blame for crashes, each of the largest size, ended the process.
+#[test]
+fn test_scheduler_executor_extreme_blames() {
+    let (mut bench, starts) = started(Policy::default());
+    let end = |n: usize| {
+        let (job, index, attempt) = starts[n];
+        proto::TaskEnd {
+            number: 1_000_000 + n as u64,
+            task: Some(task(job, index).proto(attempt)),
+            kind: EndKind::Lost.code(),
+            blame: u32::MAX,
+            ..proto::TaskEnd::default()
+        }
+    };
+    bench.send_update(proto::Update {
+        ends: vec![end(0), end(1)],
+        ..proto::Update::default()
+    });
+    go_on(&mut bench, 10);
+}
