scheduler: a peer's backlog of extreme size ends no entry

Found by the review of the change; only where jobs are handed on by load (balance, off by default) or contention is on. Cause: what waits at peers is summed as they tell it.

test_scheduler_peer_extreme_backlogs, red before: "attempt to add with overflow" (balance.rs), green after: the sums saturate. The sum in contention.rs was changed with it by reading; no test reaches it.

--- a/lib/src/dispatch/balance.rs
+++ b/lib/src/dispatch/balance.rs
@@ -32,7 +32,8 @@
 impl<K: Copy> Balancer<K> {
     /// Creates a balancer for an entry at which `own` thousandths of a core wait.
     pub fn new(own: u64, others: Vec<Candidate<K>>) -> Balancer<K> {
-        let sum: u64 = own + others.iter().map(|c| c.waiting).sum::<u64>();
+        let waiting = others.iter().map(|c| c.waiting);
+        let sum = waiting.fold(own, u64::saturating_add);
         let mean = sum / (others.len() as u64 + 1);
         Balancer { own, mean, others }
     }
@@ -52,7 +53,8 @@
             return None;
         }
         let (mean, own) = (self.mean, self.own);
-        let eligible = |c: &&mut Candidate<K>| c.waiting < mean && c.waiting + size <= own;
+        let fits = |waiting: u64| waiting.checked_add(size).is_some_and(|sum| sum <= own);
+        let eligible = |c: &&mut Candidate<K>| c.waiting < mean && fits(c.waiting);
         let mut eligible: Vec<&mut Candidate<K>> =
             self.others.iter_mut().filter(eligible).collect();
         let weights: Vec<u64> = eligible.iter().map(|c| mean - c.waiting).collect();
--- a/lib/src/dispatch/scheduler/balance.rs
+++ b/lib/src/dispatch/scheduler/balance.rs
@@ -46,7 +46,8 @@
 impl PeerLoad {
     /// Returns the CPU that the peer's waiting jobs of this and more urgent priorities need.
     fn waiting_up_to(&self, priority: u32) -> u64 {
-        self.waiting.range(..=priority).map(|(_, cpu)| cpu).sum()
+        let waiting = self.waiting.range(..=priority).map(|(_, cpu)| *cpu);
+        waiting.fold(0, u64::saturating_add)
     }
 }
 
--- a/lib/src/dispatch/scheduler/contention.rs
+++ b/lib/src/dispatch/scheduler/contention.rs
@@ -301,7 +301,8 @@
         let Some(rate) = self.contention.release_rate.rate(self.cpu_usage().used) else {
             return base;
         };
-        let waiting = self.peer_backlog().cpu_milli() + self.contention.own.cpu_milli();
+        let own = self.contention.own.cpu_milli();
+        let waiting = self.peer_backlog().cpu_milli().saturating_add(own);
         let wait = Duration::from_secs_f64((waiting as f64 / rate).min(60.0));
         let linked = self.peers.values().filter(|p| p.link.is_some()).count();
         let part = rate * policy.return_share / (1 + linked) as f64;
--- a/lib/tests/runner/test_scheduler/odd_numbers.rs
+++ b/lib/tests/runner/test_scheduler/odd_numbers.rs
@@ -292,3 +292,32 @@
     });
     go_on(&mut bench, 10);
 }
+
+/// The sum of what waits here and at a peer with the largest backlog ended the process.
+#[test]
+fn test_scheduler_peer_extreme_backlogs() {
+    for priorities in [1, 2] {
+        let mut policy = Policy::default();
+        policy.balance.on = true;
+        let mut bench = linked(policy);
+        bench.link(OTHER_PEER, "s3", false);
+        for number in 1..60 {
+            let row = |priority| proto::Backlog {
+                priority,
+                cpu_milli: u64::MAX,
+                work_milli: 1,
+                oldest_ms: 1,
+            };
+            let update = proto::PeerUpdate {
+                settled: true,
+                busy_percent: 1,
+                backlog: (0..priorities).map(row).collect(),
+                ..proto::PeerUpdate::default()
+            };
+            bench.send_peer_update_on(OTHER_PEER, update);
+            bench.report(Vec::new());
+            bench.submit(number, number, 6);
+            bench.advance(20);
+        }
+    }
+}
