scheduler: a job that waits for claims is not refused at the last answers

A caller whose job another entry may run was told that it has not run: at the last answers each job of which nothing had been started here was refused, also one that is claimed because a lost peer may run it.

test_leaving_claimed_job_at_last_answers, red before (Refused in place of Unknown), green after. A forwarder that starts after the last answers, as the division of the fleet becomes known only then, is closed at once: nobody would answer its callers. That is by reading; no test plays it.

--- a/lib/daemon/src/dispatch/scheduler_host.rs
+++ b/lib/daemon/src/dispatch/scheduler_host.rs
@@ -226,6 +226,11 @@
 
     /// Sets the forwarder for the jobs of other partitions.
     pub fn set_forwarder(&self, forwarder: ForwarderHost) {
+        if self.read(Scheduler::is_closed) {
+            // Nobody would answer what it takes later.
+            let now = self.now();
+            forwarder.with(|f| f.abandon(now));
+        }
         // The forwarder is started only once, when the division becomes known, so the cell is empty.
         let _ = self.inner.forwarder.set(forwarder);
     }
--- a/lib/src/dispatch/scheduler/leaving.rs
+++ b/lib/src/dispatch/scheduler/leaving.rs
@@ -6,6 +6,7 @@
 use super::CallerId;
 use super::Scheduler;
 use super::jobs::Job;
+use super::jobs::Phase;
 use crate::dispatch::model::JobNumber;
 use crate::dispatch::model::JobOutcome;
 use crate::dispatch::model::JobRequest;
@@ -36,7 +37,11 @@
         self.is_closed = true;
         let numbers: Vec<JobNumber> = self.jobs.keys().copied().collect();
         for number in numbers {
-            self.give_up(number, LEAVING);
+            match self.is_claiming(number) {
+                // It may run elsewhere, so it is not refused.
+                true => self.end_job(number, JobOutcome::Unknown, LEAVING),
+                false => self.give_up(number, LEAVING),
+            }
         }
         for (number, following) in std::mem::take(&mut self.following) {
             // The peer may run the job, so it is not refused if it comes again.
@@ -48,6 +53,17 @@
         }
     }
 
+    /// Returns whether a job waits for claims.
+    fn is_claiming(&self, number: JobNumber) -> bool {
+        let claiming = |job: &Job| matches!(job.phase, Phase::Claiming(_));
+        self.jobs.get(&number).is_some_and(claiming)
+    }
+
+    /// Returns whether all callers were answered for the last time.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
     /// Returns whether a job is expected to outlast this process.
     pub(super) fn outlasts_process(&self, job: &Job) -> bool {
         self.is_over_before(job, self.setup.policy.leaving.room_to_end)
--- a/lib/tests/runner/test_scheduler/leaving.rs
+++ b/lib/tests/runner/test_scheduler/leaving.rs
@@ -189,3 +189,15 @@
     let completed = JobOutcome::Completed;
     assert_eq!(bench.answers(), [(1, completed), (2, completed)]);
 }
+
+/// Guards against the refusal of a job that a lost peer may run: it waits for claims when all is given up.
+#[test]
+fn test_leaving_claimed_job_at_last_answers() {
+    let mut bench = with_peer();
+    bench.announce_on(PEER, 7);
+    bench.scheduler.link_down(bench.now, PEER);
+    bench.submit(1, 7, 1);
+    assert_eq!(bench.answers(), []);
+    bench.close();
+    assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
+}
