scheduler: a job that a peer refused is not followed there

A caller that came again after a refusal got 504 for a job that ran nowhere. Cause: a hand-off records the peer as holder of the job, and only an unknown outcome took that back, not a refusal.

test_leaving_handoff_refused_by_peer, red before (followed at the peer, not handed off), green after.

--- a/lib/src/dispatch/scheduler/followed_jobs.rs
+++ b/lib/src/dispatch/scheduler/followed_jobs.rs
@@ -68,6 +68,10 @@
         if outcome == JobOutcome::Unknown {
             return self.follow_elsewhere(name, number);
         }
+        if matches!(outcome, JobOutcome::Refused(_)) {
+            // The peer did not take it, so it must not be followed there when it comes again.
+            self.announced.withdraw(number, name);
+        }
         let began = self.ended.get(&number).is_some_and(|e| e.began);
         let outcome = match outcome {
             // The job may have begun here before it was handed off, so it can't be reported as refused.
--- a/lib/tests/runner/test_scheduler/leaving.rs
+++ b/lib/tests/runner/test_scheduler/leaving.rs
@@ -201,3 +201,18 @@
     bench.close();
     assert_eq!(bench.answers(), [(1, JobOutcome::Unknown)]);
 }
+
+/// Guards against a job that is followed at a peer which has refused it, so that its caller learns nothing.
+#[test]
+fn test_leaving_handoff_refused_by_peer() {
+    let mut bench = with_peer();
+    let ends_at = bench.now + Duration::from_millis(1100);
+    bench.scheduler.leave(bench.now, ends_at);
+    bench.submit_estimated(1, 7, 1, 900);
+    bench.end_job_on(PEER, 7, JobOutcome::Refused(100));
+    bench.send_peer_update(accepting_update());
+    assert_matches!(bench.answers()[..], [(1, JobOutcome::Refused(_))]);
+    bench.actions.clear();
+    bench.submit_estimated(2, 7, 1, 900);
+    assert_eq!(bench.handed_jobs(), 1, "handed off again");
+}
