--- a/lib/testutils/tests/runner/test_fleet_cost.rs
+++ b/lib/testutils/tests/runner/test_fleet_cost.rs
@@ -49,6 +49,22 @@
     assert!(frames < 2_200, "{frames} frames a second at a scheduler");
 }
 
+/// The largest fleet that is not divided into partitions, nearly.
+const UNDIVIDED: (usize, usize, usize) = (55, 240, 5);
+/// The most frames a second, in both directions, of a scheduler of that fleet at rest: half of those with which its
+/// processes took twice the processor time that they may.
+const UNDIVIDED_FRAMES: u64 = 1_212;
+
+/// Guards against a fleet whose processes are busy with each other while there is nothing to do.
+#[test]
+fn test_fleet_cost_undivided_at_rest() {
+    let frames = frames_per_s(idle_traffic(UNDIVIDED, Node::Scheduler(1)));
+    assert!(
+        frames <= UNDIVIDED_FRAMES,
+        "{frames} frames a second at a scheduler"
+    );
+}
+
 #[test]
 fn test_fleet_cost_members() {
     let traffic = idle_traffic(LARGE, Node::Scheduler(1));
