--- a/cli/tests/runner/test_platform_leaving.rs
+++ b/cli/tests/runner/test_platform_leaving.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use serde_json::json;
 use stackcourse_lib::dispatch::model::JobNumber;
 use stackcourse_testutils::platform::callers;
@@ -120,6 +121,13 @@
     (body.len() >= length.unwrap_or(0)).then_some((status, text))
 }
 
+/// Returns the state that the body of an answer names; empty if it names none.
+fn state_of(answer: &str) -> String {
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let document: Value = serde_json::from_str(body).unwrap_or_default();
+    document["state"].as_str().unwrap_or_default().to_owned()
+}
+
 /// Reads an answer. Returns none if the connection ends first.
 async fn read_answer(stream: &mut TcpStream) -> Option<(u16, String)> {
     let mut answer = Vec::new();
@@ -217,7 +225,7 @@
                 if let End::Answered(status) = end
                     && submits
                 {
-                    callers::check_answer(&workers, job.number, status, &text);
+                    callers::check_answer(&workers, job.number, status, &state_of(&text));
                 }
                 (kind, at_ms, end)
             })
--- a/lib/testutils/src/platform/callers.rs
+++ b/lib/testutils/src/platform/callers.rs
@@ -125,19 +125,19 @@
     seen.submissions += 1;
 }
 
-/// Checks the response to a submitted job against what the workers ran: its status, and a text that holds the state.
+/// Checks the response to a submitted job against what the workers ran: its status and the state that it names.
 ///
 /// # Panics
 ///
 /// Panics if another thread panicked while it held the lock on the workers.
-pub fn check_answer(workers: &SharedWorkers, number: JobNumber, status: u16, text: &str) {
+pub fn check_answer(workers: &SharedWorkers, number: JobNumber, status: u16, state: &str) {
     let mut workers = workers.lock().unwrap();
     workers.advance();
-    let outcome = match status {
-        200 if text.contains("completed") => JobOutcome::Completed,
-        200 if text.contains("cancelled") => JobOutcome::Cancelled,
-        200 if text.contains("failed") => JobOutcome::Failed,
-        503 => JobOutcome::Refused(0),
+    let outcome = match (status, state) {
+        (200, "completed") => JobOutcome::Completed,
+        (200, "cancelled") => JobOutcome::Cancelled,
+        (200, "failed") => JobOutcome::Failed,
+        (503, _) => JobOutcome::Refused(0),
         _ => return,
     };
     workers.witness.check_answer(number, outcome);
